--- /dev/null
+++ b/host.go
@@ -0,0 +1,64 @@
+package wigeonspindle
+
+import "time"
+
+// Incarnation identifies one run of a host process. It is random and never reused.
+type Incarnation string
+
+// Host is one process of the query tier.
+type Host struct {
+	Name        string      `json:"name"`
+	Incarnation Incarnation `json:"incarnation"`
+	Domain      string      `json:"domain"`
+	Cell        string      `json:"cell"`
+	Caller      string      `json:"caller"` // Caller is the address of the callers' listener.
+	Link        string      `json:"link"`   // Link is the address of the listener for other hosts.
+	Admin       string      `json:"admin"`  // Admin is the address of the operators' listener.
+}
+
+// Condition is the state of a host as the failure detector sees it.
+type Condition string
+
+// Conditions of a host.
+const (
+	Live    Condition = "live"
+	Suspect Condition = "suspect" // Suspect hosts missed heartbeats.
+	Cut     Condition = "cut"     // Cut hosts are heard by others but not by this host.
+	Leaving Condition = "leaving" // Leaving hosts announced a planned stop.
+	Gone    Condition = "gone"    // Gone hosts were silent for long or stopped.
+)
+
+// Member is a host with its condition.
+type Member struct {
+	Host      Host      `json:"host"`
+	Condition Condition `json:"condition"`
+	Heard     time.Time `json:"heard"` // Heard is when the last heartbeat arrived.
+}
+
+// View is an immutable membership view of one cell.
+type View struct {
+	Self    Host     `json:"self"`
+	Members []Member `json:"members"` // Members are sorted by host name and include the host itself.
+}
+
+// Listing is one entry of the platform's list of hosts.
+type Listing struct {
+	Name    string `json:"name"`
+	Link    string `json:"link"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Address is one entry of the answer to a caller that asks where to connect.
+type Address struct {
+	Address     string      `json:"address"`
+	Domain      string      `json:"domain"`
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// AddressAnswer tells a caller which addresses to use and for how long.
+type AddressAnswer struct {
+	Addresses []Address `json:"addresses"`
+	TTL       Duration  `json:"ttl"`
+	// Identity is a fresh identity for a once request sent to the first address.
+	Identity string `json:"identity"`
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,82 @@
+package wigeonspindle
+
+import (
+	"context"
+	"time"
+)
+
+// Clock tells the time. Decision code takes times as arguments instead.
+type Clock interface {
+	Now() time.Time
+}
+
+// Sender runs one attempt on one target and classifies the result. It blocks until the
+// outcome is known, the attempt's deadline passes or ctx ends.
+type Sender interface {
+	Send(ctx context.Context, target Target, attempt Attempt) Outcome
+}
+
+// Prober asks a target for its load report.
+type Prober interface {
+	Probe(ctx context.Context, target Target) (Report, error)
+}
+
+// Report is a target's own statement about its load. It may lag or mislead.
+type Report struct {
+	Running   int      `json:"running"`
+	Waiting   int      `json:"waiting"`
+	Cold      bool     `json:"cold"`
+	Draining  bool     `json:"draining"`
+	Start     string   `json:"start"` // Start identifies the run of the target's process.
+	Snapshots []string `json:"snapshots"`
+}
+
+// Record is a value of the key-value service with its version.
+type Record struct {
+	Key     string
+	Value   []byte
+	Version uint64 // Version is 0 when the key does not exist.
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get returns the record; a missing key has version 0.
+	Get(ctx context.Context, key string) (Record, error)
+	// Swap writes the value when the current version equals record.Version and returns
+	// the new record. It returns a Refusal with CodeConflict when the version differs and
+	// verdict MayHaveRun when the result is not known.
+	Swap(ctx context.Context, record Record) (Record, error)
+	// Watch waits until the version of the key exceeds after, or ctx ends.
+	Watch(ctx context.Context, key string, after uint64) (Record, error)
+}
+
+// Lister returns the platform's lagging list of hosts.
+type Lister interface {
+	List(ctx context.Context) ([]Listing, error)
+}
+
+// Recorder keeps events for the time line.
+type Recorder interface {
+	// Record stamps the event and keeps it.
+	Record(Event)
+	// Stamp returns a stamp for an outgoing message.
+	Stamp() Stamp
+	// Observe advances the clock past the stamp of an incoming message.
+	Observe(Stamp)
+}
+
+// Policy holds the choices in which deployments differ.
+type Policy interface {
+	// HedgeAfter returns how long an attempt may run before a hedge is considered.
+	HedgeAfter(estimate Estimate) time.Duration
+	// SoftDeadline returns when a query with some answers stops waiting for the rest.
+	SoftDeadline(arrived, deadline time.Time) time.Time
+	// Restart reports whether a query whose snapshot was withdrawn starts again.
+	Restart(remaining, budget time.Duration) bool
+}
+
+// Estimate holds latency quantiles of an index's attempts.
+type Estimate struct {
+	P50, P95, P99 time.Duration
+	Count         int // Count is the number of samples behind the quantiles.
+}
--- /dev/null
+++ b/internal/state/recorder/recorder.go
@@ -0,0 +1,75 @@
+// Package recorder keeps a bounded history of events and a hybrid logical clock that
+// orders them over all hosts.
+package recorder
+
+import (
+	"sync"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Recorder implements wigeonspindle.Recorder. The oldest events are overwritten.
+type Recorder struct {
+	Clock  wigeonspindle.Clock
+	Host   string
+	Domain string
+	Size   int // Size is the number of events kept.
+
+	mutex  sync.Mutex
+	last   wigeonspindle.Stamp
+	events []wigeonspindle.Event
+	next   int
+}
+
+// Record stamps the event and keeps it.
+func (r *Recorder) Record(event wigeonspindle.Event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	event.Stamp = r.advance()
+	event.Host = r.Host
+	if event.Domain == "" {
+		event.Domain = r.Domain
+	}
+	if len(r.events) < r.Size {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % r.Size
+}
+
+// Stamp returns a stamp later than every stamp recorded or observed before.
+func (r *Recorder) Stamp() wigeonspindle.Stamp {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.advance()
+}
+
+// Observe moves the clock past the stamp of an incoming message.
+func (r *Recorder) Observe(stamp wigeonspindle.Stamp) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.last.Less(stamp) {
+		r.last = stamp
+	}
+}
+
+// Events returns the events kept, the oldest first.
+func (r *Recorder) Events() []wigeonspindle.Event {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	events := make([]wigeonspindle.Event, 0, len(r.events))
+	events = append(events, r.events[r.next:]...)
+	return append(events, r.events[:r.next]...)
+}
+
+func (r *Recorder) advance() wigeonspindle.Stamp {
+	// Wall time without its monotonic reading, so that stamps compare equal after encoding.
+	now := r.Clock.Now().Round(0)
+	if now.After(r.last.Wall) {
+		r.last = wigeonspindle.Stamp{Wall: now}
+	} else {
+		r.last.Logical++
+	}
+	return r.last
+}
--- /dev/null
+++ b/internal/transport/launcher/host_test.go
@@ -0,0 +1,142 @@
+package launcher_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/lister"
+	"wigeonspindle.example/wigeonspindle/internal/transport/sender"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
+)
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// TestHosts guards against a break anywhere on the path from a caller over two hosts to
+// the targets, and against goroutines that outlive Close.
+func TestHosts(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	store := httptest.NewServer(&simulator.Store{})
+	defer store.Close()
+	list := &simulator.Hosts{}
+	hosts := httptest.NewServer(list)
+	defer hosts.Close()
+	config := wigeonspindle.Config{Revision: 1}
+	index := wigeonspindle.Index{Name: "lookup", Prefer: wigeonspindle.CoverageFirst, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}}}
+	for i := range 8 {
+		shard := fmt.Sprintf("s%d", i)
+		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
+		for _, domain := range []string{"a", "b"} {
+			target := httptest.NewServer(&simulator.Target{Slots: 2, Snapshots: []string{"v1"}, Service: time.Millisecond})
+			defer target.Close()
+			index.Targets = append(index.Targets, wigeonspindle.Target{
+				Name: shard + domain, Address: address(target), Domain: domain, Shards: []string{shard},
+				Slots: 2, Connections: 50, Floor: 10,
+			})
+		}
+	}
+	config.Indexes = []wigeonspindle.Index{index}
+	seed(t, address(store), config)
+	var running []*launcher.Host
+	var listings []wigeonspindle.Listing
+	for _, domain := range []string{"a", "b"} {
+		settings := parser.Settings{
+			Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2,
+		}
+		host := &launcher.Host{
+			Settings: settings, Clock: systemClock{}, Logger: log.New(io.Discard),
+			Store: &storer.Storer{Address: address(store)}, Lister: &lister.Lister{Address: address(hosts)},
+			Sender: &sender.Sender{Clock: systemClock{}},
+		}
+		listings = append(listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
+		running = append(running, host)
+	}
+	list.Set(listings)
+	for _, host := range running {
+		if err := host.Run(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := ask(t, running[0].Settings.Caller, 8)
+	want := wigeonspindle.Coverage{Answered: 8, Total: 8}
+	if got.Coverage.Answered != want.Answered || got.Coverage.Total != want.Total {
+		t.Errorf("coverage: got %+v, want %+v", got.Coverage, want)
+	}
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, host := range running {
+		_ = host.Close(stopped)
+		_ = host.Sender.(*sender.Sender).Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// ask repeats a query until the hosts know the configuration and their owners.
+func ask(t *testing.T, host string, shards int) wigeonspindle.Answer {
+	t.Helper()
+	var answer wigeonspindle.Answer
+	for range 100 {
+		body, err := json.Marshal(encoder.QueryRequest{Index: "lookup", Body: "wool", Budget: wigeonspindle.Duration(time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.Post("http://"+host+"/query", "application/json", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer = wigeonspindle.Answer{}
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Coverage.Answered == shards {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return answer
+}
+
+func seed(t *testing.T, store string, config wigeonspindle.Config) {
+	t.Helper()
+	data, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &storer.Storer{Address: store}
+	if _, err := client.Swap(context.Background(), wigeonspindle.Record{Key: launcher.ConfigKey, Value: data}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+// free returns a loopback address that no listener uses.
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/internal/transport/launcher/messages.go
@@ -0,0 +1,94 @@
+package launcher
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// linkHandler routes what arrives on links to the rings of the duties.
+type linkHandler struct {
+	host *Host
+}
+
+// Received routes one message.
+func (h *linkHandler) Received(message wigeonspindle.Envelope, reply wigeonspindle.Reply) {
+	h.host.route(message, reply)
+}
+
+// Unsent reports attempts that were never written as not run.
+func (h *linkHandler) Unsent(_ string, message wigeonspindle.Envelope) {
+	if len(message.Attempts) > 0 {
+		h.host.routeOutcomes(unreachable(message.Attempts))
+	}
+}
+
+// Up records that a link is ready.
+func (h *linkHandler) Up(peer string) {
+	h.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventLink, Peer: peer, Detail: "up"})
+}
+
+// Down reports a broken link to every query loop.
+func (h *linkHandler) Down(peer string) {
+	h.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventLink, Peer: peer, Detail: "down"})
+	for _, loop := range h.host.queries {
+		loop.outcomes.Put(outcomeInput{down: peer}, h.host.stop)
+	}
+}
+
+// send hands a message to a host, which may be this one. It reports false when the message
+// was not and will not be sent.
+func (h *Host) send(host string, message wigeonspindle.Envelope) bool {
+	if host != h.self.Name {
+		return h.linker.Send(host, message)
+	}
+	message.From = h.self.Name
+	return h.route(message, func(answer wigeonspindle.Envelope) bool {
+		answer.From = h.self.Name
+		return h.route(answer, nil)
+	})
+}
+
+// route hands a message to the duty that owns its state. It reports false when the ring of
+// the duty is full.
+func (h *Host) route(message wigeonspindle.Envelope, reply wigeonspindle.Reply) bool {
+	switch {
+	case message.Attempts != nil:
+		h.routeAttempts(message.Attempts, reply)
+		return true
+	case message.Cancels != nil:
+		for _, cancel := range message.Cancels {
+			h.targetLoop(cancel.Target).inputs.Offer(targetInput{cancel: &cancel})
+		}
+		return true
+	case message.Outcomes != nil:
+		return h.routeOutcomes(message.Outcomes)
+	}
+	return h.control.inputs.Offer(controlInput{message: message, reply: reply})
+}
+
+func (h *Host) routeAttempts(attempts []wigeonspindle.Attempt, reply wigeonspindle.Reply) {
+	for _, attempt := range attempts {
+		if !h.targetLoop(attempt.Target).inputs.Offer(targetInput{attempt: &attempt, reply: reply}) {
+			outcome := failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeOverloaded, "the owner is saturated")
+			reply(wigeonspindle.Envelope{Outcomes: []wigeonspindle.Outcome{outcome}})
+		}
+	}
+}
+
+func (h *Host) routeOutcomes(outcomes []wigeonspindle.Outcome) bool {
+	batches := make(map[uint64][]wigeonspindle.Outcome)
+	for _, outcome := range outcomes {
+		loop := outcome.ID.Counter % uint64(len(h.queries))
+		batches[loop] = append(batches[loop], outcome)
+	}
+	complete := true
+	for loop, batch := range batches {
+		complete = h.queries[loop].outcomes.Offer(outcomeInput{outcomes: batch}) && complete
+	}
+	return complete
+}
+
+func (h *Host) targetLoop(target string) *targetLoop {
+	return h.targets[xxhash.Sum64String(target)%uint64(len(h.targets))]
+}
--- /dev/null
+++ b/internal/transport/linker/linker.go
@@ -0,0 +1,140 @@
+// Package linker carries messages between hosts over drpc. Each host keeps one stream to
+// each peer; answers return on the stream on which their message arrived.
+package linker
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/converter"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/messenger"
+	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
+)
+
+// outSize bounds the messages that wait for one link.
+const outSize = 4096
+
+// Linker implements wigeonspindle.Link.
+type Linker struct {
+	Self      wigeonspindle.Host
+	Clock     wigeonspindle.Clock
+	Recorder  wigeonspindle.Recorder
+	Handler   wigeonspindle.LinkHandler
+	Heartbeat func() wigeonspindle.Heartbeat
+	Logger    *log.Logger
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	waiting  sync.WaitGroup
+	listener net.Listener
+	mutex    sync.Mutex
+	peers    map[string]*peer
+}
+
+// Run listens for other hosts and starts accepting their streams.
+func (l *Linker) Run() error {
+	listener, err := net.Listen("tcp", l.Self.Link)
+	if err != nil {
+		return errors.Wrapf(err, "listen for hosts on %s", l.Self.Link)
+	}
+	l.listener = listener
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.mutex.Lock()
+	l.peers = make(map[string]*peer)
+	l.mutex.Unlock()
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterLink(mux, &acceptor{linker: l}); err != nil {
+		return errors.Wrap(err, "register link service")
+	}
+	server := drpcserver.New(mux)
+	l.waiting.Add(1)
+	go func() {
+		defer l.waiting.Done()
+		if err := server.Serve(l.ctx, listener); err != nil && l.ctx.Err() == nil {
+			l.Logger.Error("link listener failed", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Close ends all links and waits for their duties.
+func (l *Linker) Close() error {
+	l.cancel()
+	err := l.listener.Close()
+	l.waiting.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Connect keeps a link to each of the hosts and closes the links to all others.
+func (l *Linker) Connect(hosts []wigeonspindle.Host) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	wanted := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		wanted[host.Name] = true
+		existing := l.peers[host.Name]
+		if host.Name == l.Self.Name || existing != nil && existing.host.Link == host.Link {
+			continue
+		}
+		if existing != nil {
+			existing.cancel()
+		}
+		l.peers[host.Name] = l.start(host)
+	}
+	for name, p := range l.peers {
+		if !wanted[name] {
+			p.cancel()
+			delete(l.peers, name)
+		}
+	}
+}
+
+// Send queues a message to a host.
+func (l *Linker) Send(host string, message wigeonspindle.Envelope) bool {
+	l.mutex.Lock()
+	p := l.peers[host]
+	l.mutex.Unlock()
+	return p != nil && p.up.Load() && p.out.Offer(message)
+}
+
+func (l *Linker) start(host wigeonspindle.Host) *peer {
+	ctx, cancel := context.WithCancel(l.ctx)
+	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[wigeonspindle.Envelope](outSize)}
+	l.waiting.Add(1)
+	go func() {
+		defer l.waiting.Done()
+		p.keep(ctx)
+	}()
+	return p
+}
+
+// deliver decodes a frame and hands it to the handler.
+func (l *Linker) deliver(frame *messenger.Frame, from string, reply wigeonspindle.Reply) error {
+	envelope, err := converter.Decode(frame, from, l.Clock.Now())
+	if err != nil {
+		return err
+	}
+	l.Recorder.Observe(envelope.Stamp)
+	l.Handler.Received(envelope, reply)
+	return nil
+}
+
+// encode stamps a message and returns its frame.
+func (l *Linker) encode(envelope wigeonspindle.Envelope) (*messenger.Frame, error) {
+	envelope.Stamp = l.Recorder.Stamp()
+	return converter.Encode(envelope, l.Clock.Now())
+}
+
+// redialDelay is the pause between attempts to open a link.
+const redialDelay = 200 * time.Millisecond
--- /dev/null
+++ b/internal/transport/linker/peer.go
@@ -0,0 +1,144 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/messenger"
+	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
+)
+
+// dialTimeout bounds the time to open a link.
+const dialTimeout = time.Second
+
+// peer keeps one outgoing stream to a host.
+type peer struct {
+	linker *Linker
+	host   wigeonspindle.Host
+	cancel context.CancelFunc
+	out    *queuer.Ring[wigeonspindle.Envelope]
+	up     atomic.Bool
+	heard  atomic.Int64 // heard is when the last frame arrived, in Unix nanoseconds.
+}
+
+// keep opens the link again whenever it breaks, until ctx ends.
+func (p *peer) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := p.connect(ctx)
+		if ctx.Err() == nil && err != nil {
+			p.linker.Logger.Debug("link failed", "peer", p.host.Name, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// connect opens the stream and serves it until it breaks.
+func (p *peer) connect(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", p.host.Link)
+	if err != nil {
+		return errors.Wrapf(err, "dial host %s", p.host.Name)
+	}
+	conn := drpcconn.New(socket)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := messenger.NewDRPCLinkClient(conn).Exchange(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "open stream to host %s", p.host.Name)
+	}
+	p.heard.Store(p.linker.Clock.Now().UnixNano())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.read(stream)
+		cancel()
+	}()
+	err = p.write(ctx, stream)
+	cancel()
+	_ = conn.Close()
+	<-done
+	p.fail()
+	return err
+}
+
+// read is the duty that receives answers from the host.
+func (p *peer) read(stream messenger.DRPCLink_ExchangeClient) {
+	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(message) }
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		p.heard.Store(p.linker.Clock.Now().UnixNano())
+		if !p.up.Swap(true) {
+			p.linker.Handler.Up(p.host.Name)
+		}
+		if err := p.linker.deliver(frame, p.host.Name, reply); err != nil {
+			p.linker.Logger.Warn("message dropped", "peer", p.host.Name, "error", err)
+		}
+	}
+}
+
+// write is the duty that sends queued messages and heartbeats. It returns when the host
+// was silent for too long, because a connection may have been lost without an error.
+func (p *peer) write(ctx context.Context, stream messenger.DRPCLink_ExchangeClient) error {
+	ticker := time.NewTicker(wigeonspindle.HeartbeatPeriod)
+	defer ticker.Stop()
+	if err := p.beat(stream); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("stream to host %s ended", p.host.Name)
+		case message := <-p.out.C():
+			if err := p.send(stream, message); err != nil {
+				// The message may have left in part, so that only Down is reported for it.
+				return err
+			}
+		case <-ticker.C:
+			silence := p.linker.Clock.Now().Sub(time.Unix(0, p.heard.Load()))
+			if silence > wigeonspindle.SilenceLimit {
+				return errors.Newf("host %s was silent for %s", p.host.Name, silence)
+			}
+			if err := p.beat(stream); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (p *peer) beat(stream messenger.DRPCLink_ExchangeClient) error {
+	heartbeat := p.linker.Heartbeat()
+	return p.send(stream, wigeonspindle.Envelope{Heartbeat: &heartbeat})
+}
+
+func (p *peer) send(stream messenger.DRPCLink_ExchangeClient, message wigeonspindle.Envelope) error {
+	frame, err := p.linker.encode(message)
+	if err != nil {
+		return err
+	}
+	return stream.Send(frame)
+}
+
+// fail marks the link as down and returns the messages that were not written.
+func (p *peer) fail() {
+	wasUp := p.up.Swap(false)
+	buffer := p.out.Drain(make([]wigeonspindle.Envelope, 0, p.out.Cap()))
+	for _, message := range buffer {
+		p.linker.Handler.Unsent(p.host.Name, message)
+	}
+	if wasUp {
+		p.linker.Handler.Down(p.host.Name)
+	}
+}
--- /dev/null
+++ b/lease.go
@@ -0,0 +1,80 @@
+package wigeonspindle
+
+import "time"
+
+// Claim asks the voters for leases on targets or renews them. It is one batch per
+// holder.
+type Claim struct {
+	Holder  Incarnation
+	Era     uint64 // Era is the roster era that the holder knows.
+	Counter uint64 // Counter matches grants to claims; the holder never repeats it.
+	Targets []ClaimTarget
+}
+
+// ClaimTarget is one target of a claim.
+type ClaimTarget struct {
+	Target string
+	// Level is the holder's ramp level of the target, kept by voters for the next owner.
+	// Zero means that the holder does not know the level.
+	Level float64
+}
+
+// Grant is a voter's answer to a claim.
+type Grant struct {
+	Voter   Incarnation
+	Era     uint64
+	Seat    int      // Seat is the index of the voter's seat.
+	Terms   []uint64 // Terms are the terms of all seats that the voter knows.
+	Counter uint64
+	Lease   time.Duration // Lease runs from when the holder sent the claim.
+	Targets []ClaimTarget // Targets are those granted, each with the last known level.
+	Denied  []string
+}
+
+// Release gives leases back before they end.
+type Release struct {
+	Holder  Incarnation
+	Targets []ClaimTarget
+}
+
+// Notice tells a host the roster that the sender knows.
+type Notice struct {
+	Roster Roster
+}
+
+// Acknowledgement tells the new sitter of a seat that a voter knows the seat's term and
+// refuses votes of its earlier terms.
+type Acknowledgement struct {
+	Voter       Incarnation
+	Era         uint64
+	Seat        int
+	Term        uint64
+	Incarnation Incarnation // Incarnation is the sitter that the voter accepted.
+}
+
+// Ownership maps targets to the hosts expected to hold their leases.
+type Ownership struct {
+	Owners map[string]Host
+}
+
+// Heartbeat is sent to each host of the cell twice a second.
+type Heartbeat struct {
+	Host      Host
+	Leaving   bool
+	Revision  Revision
+	Era       uint64
+	Terms     []uint64 // Terms are the roster terms that the host knows.
+	Heard     []string // Heard names the hosts whose heartbeats arrived lately.
+	Overrides []Override
+	Drops     []string // Drops names targets seen leaving or draining.
+}
+
+// Suspicion reports evidence that a fingerprint crashes targets.
+type Suspicion struct {
+	Fingerprint uint64
+	Points      float64
+	Target      string
+	Expires     time.Time
+	// Cleared reports that a suspect completed alone on a target.
+	Cleared bool
+}
