--- /dev/null
+++ b/administration.go
@@ -0,0 +1,88 @@
+package wigeonspindle
+
+import (
+	"context"
+	"time"
+)
+
+// Administration is what the operators' API needs from a host.
+type Administration interface {
+	// Config returns the configuration in force, or nil before the first one arrived.
+	Config() *Config
+	// Status returns the state of the host as it sees itself and its cell.
+	Status() Status
+	// Events returns the events of the time line that match, the oldest first.
+	Events(filter EventFilter) []Event
+	// Propose validates a change and, unless dry, writes it. The summary lists the
+	// differences from the configuration in force. Its error is a Refusal.
+	Propose(ctx context.Context, change Change, dry bool) (Entry, error)
+	// History returns the latest accepted changes, the newest first.
+	History(ctx context.Context) ([]Entry, error)
+	// SetDomain takes a failure domain out of service or brings it back. While the store is
+	// unavailable the change is kept as an override on all hosts; soft reports that.
+	SetDomain(ctx context.Context, domain string, out bool, author string) (soft bool, err error)
+	// Drain starts a planned stop of the host.
+	Drain()
+}
+
+// Status is the state of a host for operators.
+type Status struct {
+	Host      Host           `json:"host"`
+	Revision  Revision       `json:"revision"`
+	Leaving   bool           `json:"leaving"`
+	Ready     bool           `json:"ready"`
+	Reason    string         `json:"reason,omitempty"` // Reason says why the host is not ready.
+	Members   []Member       `json:"members"`
+	Targets   []TargetStatus `json:"targets"`
+	Roster    Roster         `json:"roster"`
+	Overrides []Override     `json:"overrides,omitempty"`
+	Rings     []RingStatus   `json:"rings"`
+	StoreSeen time.Time      `json:"storeseen"` // StoreSeen is when the store last answered.
+	Queries   int            `json:"queries"`   // Queries is the number of queries in progress.
+}
+
+// TargetStatus is the state of a target that the host owns.
+type TargetStatus struct {
+	Target string    `json:"target"`
+	Domain string    `json:"domain"`
+	Until  time.Time `json:"until"` // Until is the end of the lease.
+	Load   Load      `json:"load"`
+}
+
+// RingStatus is the fill of one ring.
+type RingStatus struct {
+	Ring     string `json:"ring"`
+	Waiting  int    `json:"waiting"`
+	Capacity int    `json:"capacity"`
+}
+
+// EventFilter selects events of the time line. Empty fields match everything.
+type EventFilter struct {
+	Trace  string
+	Target string
+	Since  time.Time
+	Until  time.Time
+}
+
+// SendKind says why an attempt was sent.
+type SendKind string
+
+// Kinds of sends.
+const (
+	SendFirst  SendKind = "first"
+	SendRetry  SendKind = "retry"
+	SendHedge  SendKind = "hedge"
+	SendCanary SendKind = "canary"
+)
+
+// Meter receives the measurements of a host. Its methods must not block.
+type Meter interface {
+	// Answered counts an answer and its latency.
+	Answered(index string, verdict Verdict, coverage Coverage, took time.Duration)
+	// Refused counts a refusal towards a caller.
+	Refused(index string, code Code)
+	// Sent counts an attempt handed to an owner.
+	Sent(index string, kind SendKind)
+	// Dropped counts an element that a full ring refused.
+	Dropped(ring string)
+}
