--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/router"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
@@ -18,13 +17,12 @@
 	pollPeriod    = time.Second
 	storeRetry    = 500 * time.Millisecond
 	watchTimeout  = 30 * time.Second
-	leaseDuration = 3 * time.Second
 )
 
 // ConfigKey is the store's key of the configuration.
 const ConfigKey = "config"
 
-// controlLoop is the duty that decides on membership, ownership and configuration.
+// controlLoop is the duty that decides on membership and configuration.
 type controlLoop struct {
 	host    *Host
 	inputs  *queuer.Ring[controlInput]
@@ -92,42 +90,15 @@
 	now := l.host.Clock.Now()
 	l.members[l.host.self.Name] = wigeonspindle.Member{Host: l.host.self, Condition: wigeonspindle.Live, Heard: now}
 	view := &wigeonspindle.View{Self: l.host.self}
-	var owners []wigeonspindle.Host
 	for name, member := range l.members {
 		if now.Sub(member.Heard) > wigeonspindle.SilenceLimit {
 			member.Condition = wigeonspindle.Suspect
 			l.members[name] = member
 		}
 		view.Members = append(view.Members, member)
-		if member.Condition == wigeonspindle.Live {
-			owners = append(owners, member.Host)
-		}
 	}
 	slices.SortFunc(view.Members, func(a, b wigeonspindle.Member) int { return strings.Compare(a.Host.Name, b.Host.Name) })
 	l.host.view.Store(view)
-	l.own(owners, now)
-}
-
-func (l *controlLoop) own(hosts []wigeonspindle.Host, now time.Time) {
-	config := l.host.holder.Config()
-	if config == nil {
-		return
-	}
-	ownership := &wigeonspindle.Ownership{Owners: make(map[string]wigeonspindle.Host)}
-	for _, index := range config.Indexes {
-		for _, target := range index.Targets {
-			owner, ok := router.Owner(target, hosts)
-			if !ok {
-				continue
-			}
-			ownership.Owners[target.Name] = owner
-			if owner.Name == l.host.self.Name {
-				lease := &targetLease{target: target, until: now.Add(leaseDuration)}
-				l.host.targetLoop(target.Name).inputs.Offer(targetInput{lease: lease})
-			}
-		}
-	}
-	l.host.ownership.Store(ownership)
 }
 
 // poll is the duty that reads the host list.
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -43,6 +43,7 @@
 	queries   []*queryLoop
 	targets   []*targetLoop
 	control   *controlLoop
+	leases    *leaseLoop
 	linker    *linker.Linker
 	server    *server.Server
 	stop      chan struct{}
@@ -73,6 +74,7 @@
 		h.targets = append(h.targets, newTargetLoop(h))
 	}
 	h.control = newControlLoop(h)
+	h.leases = newLeaseLoop(h)
 	h.server = &server.Server{Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger}
 	if err := h.linker.Run(); err != nil {
 		return err
@@ -82,6 +84,7 @@
 		h.start(h.targets[i].run)
 	}
 	h.start(h.control.run)
+	h.start(h.leases.run)
 	h.start(h.control.watch)
 	h.start(h.control.poll)
 	if err := h.server.Run(); err != nil {
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -63,6 +63,8 @@
 		return true
 	case message.Outcomes != nil:
 		return h.routeOutcomes(message.Outcomes)
+	case message.Claim != nil, message.Grant != nil, message.Release != nil, message.Notice != nil, message.Acknowledgement != nil:
+		return h.leases.inputs.Offer(leaseInput{message: message, reply: reply})
 	}
 	return h.control.inputs.Offer(controlInput{message: message, reply: reply})
 }
