--- /dev/null
+++ b/internal/coordination/hedger/hedger_test.go
@@ -0,0 +1,104 @@
+package hedger_test
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// TestPolicy guards against a policy that hedges on too few samples, gives up shards that
+// coverage needs, or restarts without time to finish.
+func TestPolicy(t *testing.T) {
+	estimate := wigeonspindle.Estimate{P95: 20 * time.Millisecond, P99: 40 * time.Millisecond, Count: 1000}
+	few := estimate
+	few.Count = 3
+	deadline := epoch.Add(100 * time.Millisecond)
+	for _, test := range []struct {
+		prefer                wigeonspindle.Preference
+		hedge, hedgeFew, soft time.Duration
+	}{
+		{wigeonspindle.CoverageFirst, 40 * time.Millisecond, hedger.Never, 100 * time.Millisecond},
+		{wigeonspindle.TailFirst, 20 * time.Millisecond, hedger.Never, 60 * time.Millisecond},
+	} {
+		policy := hedger.For(test.prefer, wigeonspindle.Rules{Soft: 0.6})
+		if got, want := policy.HedgeAfter(estimate), test.hedge; got != want {
+			t.Errorf("%s: hedge: got %s, want %s", test.prefer, got, want)
+		}
+		if got, want := policy.HedgeAfter(few), test.hedgeFew; got != want {
+			t.Errorf("%s: hedge on few samples: got %s, want %s", test.prefer, got, want)
+		}
+		if got, want := policy.SoftDeadline(epoch, deadline).Sub(epoch), test.soft; got != want {
+			t.Errorf("%s: soft deadline: got %s, want %s", test.prefer, got, want)
+		}
+		if policy.Restart(49, 100) || !policy.Restart(50, 100) {
+			t.Errorf("%s: restart: want it from half of the budget on", test.prefer)
+		}
+	}
+}
+
+// TestEstimator guards against quantiles that are wrong or keep a latency that is long gone.
+func TestEstimator(t *testing.T) {
+	estimator := &hedger.Estimator{}
+	for i := range 1000 {
+		estimator.Observe(time.Duration(i+1)*time.Millisecond, epoch)
+	}
+	got := estimator.Estimate(epoch)
+	for _, quantile := range []struct{ got, want time.Duration }{
+		{got.P50, 500 * time.Millisecond}, {got.P95, 950 * time.Millisecond}, {got.P99, 990 * time.Millisecond},
+	} {
+		if diff := (quantile.got - quantile.want).Abs(); diff > quantile.want/100+time.Millisecond {
+			t.Errorf("quantile: got %s, want %s within 1%%", quantile.got, quantile.want)
+		}
+	}
+	for i := range 4 {
+		now := epoch.Add(time.Duration(i+1) * 5 * time.Second)
+		for range 100 {
+			estimator.Observe(10*time.Millisecond, now)
+		}
+	}
+	got = estimator.Estimate(epoch.Add(20 * time.Second))
+	if got.P99 > 11*time.Millisecond || got.Count > 300 {
+		t.Errorf("after three windows: got p99 %s of %d samples, want about 10ms of 300", got.P99, got.Count)
+	}
+}
+
+// TestBudget guards against more extra work than the share and against a saved-up storm.
+func TestBudget(t *testing.T) {
+	budget := &hedger.Budget{Share: 0.05, Burst: 10}
+	taken := 0
+	for range 1000 {
+		budget.Earn()
+		if budget.Take() {
+			taken++
+		}
+	}
+	if got, want := taken, 50; got != want {
+		t.Errorf("extra of 1000: got %d, want %d", got, want)
+	}
+	for range 100000 {
+		budget.Earn()
+	}
+	taken = 0
+	for budget.Take() {
+		taken++
+	}
+	if got, want := taken, 10; got != want {
+		t.Errorf("burst: got %d, want %d", got, want)
+	}
+}
+
+// BenchmarkEstimator measures what each finished attempt adds.
+func BenchmarkEstimator(b *testing.B) {
+	estimator := &hedger.Estimator{}
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		estimator.Observe(5*time.Millisecond, now)
+		estimator.Estimate(now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/hedger/policy.go
@@ -0,0 +1,69 @@
+// Package hedger decides when a slow attempt is sent again: the policies of an index, a
+// streaming estimate of its latency, and the budgets that bound the extra load.
+package hedger
+
+import (
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Never is the hedge delay while there is no usable estimate. It exceeds every deadline.
+const Never = 24 * time.Hour
+
+// MinSamples is the number of samples below which quantiles are not used: a p95 of fewer
+// than 20 samples is the maximum of a handful.
+const MinSamples = 20
+
+// For returns the policy of an index.
+func For(prefer wigeonspindle.Preference, rules wigeonspindle.Rules) wigeonspindle.Policy {
+	if prefer == wigeonspindle.TailFirst {
+		return TailFirst{Soft: rules.Soft}
+	}
+	return CoverageFirst{}
+}
+
+// CoverageFirst waits for every shard until the deadline and hedges late.
+type CoverageFirst struct{}
+
+// HedgeAfter returns the p99.
+func (CoverageFirst) HedgeAfter(estimate wigeonspindle.Estimate) time.Duration {
+	return usable(estimate, estimate.P99)
+}
+
+// SoftDeadline returns the deadline.
+func (CoverageFirst) SoftDeadline(_, deadline time.Time) time.Time { return deadline }
+
+// Restart reports whether at least half of the budget is left.
+func (CoverageFirst) Restart(remaining, budget time.Duration) bool { return restart(remaining, budget) }
+
+// TailFirst returns at a soft deadline and hedges early.
+type TailFirst struct {
+	// Soft is the share of the budget after which a query with some answers ends.
+	Soft float64
+}
+
+// HedgeAfter returns the p95.
+func (TailFirst) HedgeAfter(estimate wigeonspindle.Estimate) time.Duration {
+	return usable(estimate, estimate.P95)
+}
+
+// SoftDeadline returns the end of the soft share of the budget.
+func (p TailFirst) SoftDeadline(arrived, deadline time.Time) time.Time {
+	if p.Soft <= 0 || p.Soft >= 1 {
+		return deadline
+	}
+	return arrived.Add(time.Duration(p.Soft * float64(deadline.Sub(arrived))))
+}
+
+// Restart reports whether at least half of the budget is left.
+func (TailFirst) Restart(remaining, budget time.Duration) bool { return restart(remaining, budget) }
+
+func usable(estimate wigeonspindle.Estimate, quantile time.Duration) time.Duration {
+	if estimate.Count < MinSamples {
+		return Never
+	}
+	return max(quantile, time.Millisecond)
+}
+
+func restart(remaining, budget time.Duration) bool { return 2*remaining >= budget }
