--- /dev/null
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -0,0 +1,77 @@
+package quarantiner_test
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const expiry = 10 * time.Minute
+
+// TestQuarantine guards against a crashing request that keeps running, against one that is
+// refused for a crash it shared with others, and against a quarantine that never ends.
+func TestQuarantine(t *testing.T) {
+	q := &quarantiner.Quarantiner{Size: 8}
+	state := func(name string, fingerprint uint64, now time.Time, want quarantiner.State) {
+		t.Helper()
+		if got := q.State(fingerprint, now); got != want {
+			t.Errorf("%s: got state %d, want %d", name, got, want)
+		}
+	}
+	q.Crash(1, "t0", 2, expiry, epoch)
+	q.Crash(2, "t0", 2, expiry, epoch)
+	state("shared crash", 1, epoch, quarantiner.Suspect)
+	if cleared, ok := q.Completed(2, "t1", epoch); !ok || !cleared.Cleared {
+		t.Errorf("completed alone: got %+v and %t, want a cleared entry", cleared, ok)
+	}
+	state("completed alone", 2, epoch, quarantiner.Clear)
+	q.Crash(1, "t1", 1, expiry, epoch)
+	state("1.5 points", 1, epoch, quarantiner.Suspect)
+	entry := q.Crash(1, "t2", 1, expiry, epoch)
+	state("2.5 points", 1, epoch, quarantiner.Quarantined)
+	if _, ok := q.Completed(1, "t3", epoch); ok {
+		t.Error("quarantined request: want no clearing by a late completion")
+	}
+	other := &quarantiner.Quarantiner{Size: 8}
+	other.Accept(entry, epoch)
+	other.Accept(wigeonspindle.Suspicion{Fingerprint: 1, Cleared: true, Expires: entry.Expires}, epoch)
+	if got, want := other.State(1, epoch), quarantiner.Quarantined; got != want {
+		t.Errorf("relayed entry: got state %d, want %d", got, want)
+	}
+	other.Accept(wigeonspindle.Suspicion{Fingerprint: 3, Points: 1, Expires: entry.Expires}, epoch)
+	other.Accept(wigeonspindle.Suspicion{Fingerprint: 3, Points: 1, Expires: entry.Expires}, epoch)
+	if got, want := other.State(3, epoch), quarantiner.Suspect; got != want {
+		t.Errorf("entry that arrived twice: got state %d, want %d", got, want)
+	}
+	state("before expiry", 1, epoch.Add(expiry-1), quarantiner.Quarantined)
+	state("after expiry", 1, epoch.Add(expiry), quarantiner.Clear)
+}
+
+// TestBounds guards against a table that grows with the number of crashing requests and
+// against one that forgets a quarantine for the sake of a suspect.
+func TestBounds(t *testing.T) {
+	q := &quarantiner.Quarantiner{Size: 4, Successes: 4}
+	q.Crash(1000, "t0", 1, expiry, epoch)
+	q.Crash(1000, "t0", 1, expiry, epoch)
+	for fingerprint := range uint64(100) {
+		q.Crash(fingerprint, "t0", 3, expiry, epoch)
+		q.Succeed(fingerprint, epoch)
+	}
+	if got, want := q.Len(), 4; got != want {
+		t.Errorf("suspects: got %d, want %d", got, want)
+	}
+	if got, want := q.State(1000, epoch), quarantiner.Quarantined; got != want {
+		t.Errorf("quarantine in a full table: got state %d, want %d", got, want)
+	}
+	if q.Succeeded(1) || !q.Succeeded(99) {
+		t.Error("successes: want the latest kept and the earliest forgotten")
+	}
+	q.Crash(99, "t0", 1, expiry, epoch)
+	if q.Succeeded(99) {
+		t.Error("crash: want the success forgotten, so that a canary runs first again")
+	}
+}
