--- /dev/null
+++ b/internal/coordination/admitter/admitter_test.go
@@ -0,0 +1,85 @@
+package admitter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/admitter"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func query(caller string) wigeonspindle.Query {
+	return wigeonspindle.Query{Caller: caller, Deadline: epoch.Add(100 * time.Millisecond)}
+}
+
+// code returns the code of a refusal, or nothing for an admission.
+func code(refusal *wigeonspindle.Refusal) wigeonspindle.Code {
+	if refusal == nil {
+		return ""
+	}
+	return refusal.Code
+}
+
+// TestDeadline guards against work on a query that cannot end in time, and against refusing
+// on too few samples.
+func TestDeadline(t *testing.T) {
+	a := &admitter.Admitter{Limit: 100, MinSamples: 20}
+	slow := wigeonspindle.Estimate{P50: 150 * time.Millisecond, Count: 20}
+	few := slow
+	few.Count = 19
+	for _, test := range []struct {
+		name     string
+		estimate wigeonspindle.Estimate
+		after    time.Duration
+		want     wigeonspindle.Code
+	}{
+		{"too slow", slow, 0, wigeonspindle.CodeExpired},
+		{"few samples", few, 0, ""},
+		{"past the deadline", few, 100 * time.Millisecond, wigeonspindle.CodeExpired},
+	} {
+		if got := code(a.Admit(query("c"), 1, test.estimate, epoch.Add(test.after))); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// TestFairShare guards against one caller that keeps the others out, against more work than
+// the limit, and against a table that keeps callers without queries.
+func TestFairShare(t *testing.T) {
+	a := &admitter.Admitter{Limit: 100, MinSamples: 20}
+	estimate := wigeonspindle.Estimate{}
+	admit := func(caller string) bool { return a.Admit(query(caller), 10, estimate, epoch) == nil }
+	admitted := make(map[string]int)
+	admitted["small"]++
+	if !admit("small") {
+		t.Fatal("first query: want it admitted")
+	}
+	for range 20 {
+		if admit("greedy") {
+			admitted["greedy"]++
+		}
+	}
+	for admit("small") {
+		admitted["small"]++
+	}
+	if got, want := fmt.Sprint(admitted), "map[greedy:5 small:5]"; got != want {
+		t.Errorf("admitted: got %s, want %s", got, want)
+	}
+	if got, want := code(a.Admit(query("new"), 10, estimate, epoch)), wigeonspindle.CodeOverloaded; got != want {
+		t.Errorf("full: got %q, want %q", got, want)
+	}
+	for caller, count := range admitted {
+		for range count {
+			a.Done(caller, 10)
+		}
+	}
+	if got, want := a.Callers(), 0; got != want {
+		t.Errorf("callers left: got %d, want %d", got, want)
+	}
+	if !admit("greedy") {
+		t.Error("idle host: want the query admitted")
+	}
+}
