--- a/internal/coordination/deduplicator/deduplicator.go
+++ b/internal/coordination/deduplicator/deduplicator.go
@@ -54,7 +54,7 @@
 // Begin decides on a once request that arrived with its identity.
 func (d *Deduplicator) Begin(query wigeonspindle.Query, lifetime time.Duration, now time.Time) Result {
 	d.expire(now)
-	identity := normal(query.Identity)
+	identity := Key(query.Identity)
 	if known := d.entries[identity]; known != nil {
 		switch {
 		case known.fingerprint != query.Fingerprint:
@@ -89,7 +89,7 @@
 // Finish records the answer of a request that Begin let run. An answer with verdict NotRun
 // is not kept, because the identity may be tried again.
 func (d *Deduplicator) Finish(identity wigeonspindle.Identity, answer wigeonspindle.Answer) {
-	known := d.entries[normal(identity)]
+	known := d.entries[Key(identity)]
 	if known == nil || known.answer != nil {
 		return
 	}
@@ -124,9 +124,9 @@
 	}
 }
 
-// normal drops the location and the monotonic reading, so that equal identities are equal
+// Key drops the location and the monotonic reading, so that equal identities are equal
 // map keys on every path.
-func normal(identity wigeonspindle.Identity) wigeonspindle.Identity {
+func Key(identity wigeonspindle.Identity) wigeonspindle.Identity {
 	identity.Issued = identity.Issued.UTC().Round(0)
 	return identity
 }
