--- /dev/null
+++ b/internal/coordination/coordinator/harness_test.go
@@ -0,0 +1,122 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/coordinator"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/router"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// TestMain fixes the seed of the generated cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// harness drives one coordinator and keeps what it did.
+type harness struct {
+	*coordinator.Coordinator
+	hedges  *hedger.Budget
+	sends   []*wigeonspindle.Attempt
+	log     []string
+	answers []wigeonspindle.Answer
+	events  map[wigeonspindle.Kind]int
+}
+
+func newHarness(index wigeonspindle.Index, query wigeonspindle.Query) *harness {
+	picker := &router.Picker{Domain: "a", Rand: rand.New(rand.NewPCG(1, 1))}
+	picker.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil)
+	retries := &hedger.Budget{Share: 0.1, Burst: 100}
+	retries.Fill()
+	h := &harness{hedges: &hedger.Budget{Share: 0.05, Burst: 10}, events: make(map[wigeonspindle.Kind]int)}
+	counter := uint64(0)
+	h.Coordinator = &coordinator.Coordinator{
+		Query: query, Index: &index, Picker: picker, Estimator: &hedger.Estimator{}, Hedges: h.hedges, Retries: retries,
+		Policy: hedger.For(index.Prefer, wigeonspindle.Rules{Soft: 0.6}), Alone: func() bool { return false },
+		NextID: func() wigeonspindle.AttemptID {
+			counter++
+			return wigeonspindle.AttemptID{Entry: "self", Counter: counter}
+		},
+	}
+	return h
+}
+
+// warm gives the estimator 100 samples of one latency and the hedge budget its burst.
+func (h *harness) warm(took time.Duration) {
+	for range 100 {
+		h.Estimator.Observe(took, epoch)
+	}
+	h.hedges.Fill()
+}
+
+// act keeps the actions and writes them to the log in a short form.
+func (h *harness) act(actions []coordinator.Action, now time.Time) {
+	at := now.Sub(epoch).Milliseconds()
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			h.sends = append(h.sends, action.Send)
+			h.log = append(h.log, fmt.Sprintf("%d %s %s@%s %s", at, action.Kind, action.Send.Shard, action.Send.Target, action.Send.Snapshot))
+		case action.Cancel != nil:
+			h.log = append(h.log, fmt.Sprintf("%d cancel %d", at, action.Cancel.ID.Counter))
+		case action.Event != nil:
+			h.events[action.Event.Kind]++
+			if action.Event.Kind == wigeonspindle.EventDropped {
+				h.log = append(h.log, fmt.Sprintf("%d dropped %s", at, action.Event.Detail))
+			}
+		case action.Answer != nil:
+			h.answers = append(h.answers, *action.Answer)
+			a := action.Answer
+			line := fmt.Sprintf("%d answer %s %d/%d %s", at, a.Verdict, a.Coverage.Answered, a.Coverage.Total, a.Snapshot)
+			if a.Refusal != nil {
+				line += " " + string(a.Refusal.Code) + " " + a.Refusal.Field
+			}
+			h.log = append(h.log, line)
+		}
+	}
+}
+
+// until runs the timers up to a time.
+func (h *harness) until(now time.Time) {
+	for !h.Done() && !h.Wake().After(now) {
+		wake := h.Wake()
+		h.act(h.Tick(wake), wake)
+		if !h.Done() && !h.Wake().After(wake) {
+			panic(fmt.Sprintf("the timer does not advance beyond %s", wake.Sub(epoch)))
+		}
+	}
+}
+
+// reply returns the answer of a target to an attempt.
+func reply(attempt *wigeonspindle.Attempt) wigeonspindle.Outcome {
+	return wigeonspindle.Outcome{
+		ID: attempt.ID, Query: attempt.Query, Target: attempt.Target, Shard: attempt.Shard, Snapshot: attempt.Snapshot,
+		Generation: attempt.Generation, Verdict: wigeonspindle.Ran, Body: fmt.Append(nil, attempt.ID.Counter),
+	}
+}
+
+// index returns an index with replicas in domains "a" and "b" for each shard.
+func index(prefer wigeonspindle.Preference, shards ...string) wigeonspindle.Index {
+	index := wigeonspindle.Index{Name: "lookup", Prefer: prefer, Snapshots: []wigeonspindle.Snapshot{
+		{Version: "v0", Shards: shards}, {Version: "v1", Shards: shards},
+	}}
+	for _, shard := range shards {
+		for _, domain := range []string{"a", "b"} {
+			index.Targets = append(index.Targets, wigeonspindle.Target{
+				Name: shard + domain, Domain: domain, Shards: []string{shard}, Slots: 2,
+			})
+		}
+	}
+	return index
+}
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -3,7 +3,9 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,22 +47,213 @@
 	return Rank(target, hosts)[0], true
 }
 
-// Picker chooses replicas for the attempts of queries.
+const (
+	// loadPeriod is how long a load counts after the outcome that brought it. An idle
+	// replica sends none, so that an old one would keep traffic away for ever.
+	loadPeriod = time.Second
+	// levelPeriod is how long a ramp level counts. It is longer than loadPeriod because a
+	// cold replica that is skipped for a second is not warm after it.
+	levelPeriod = 10 * time.Second
+	// avoidPeriod is how long a replica that could not be reached is the last choice. It
+	// covers the propagation of a new owner table, which takes a few hundred milliseconds.
+	avoidPeriod = 500 * time.Millisecond
+	// lackPeriod is how long a replica counts as lacking a snapshot that it refused. A
+	// replica that loads a new snapshot is tried again after it.
+	lackPeriod = 5 * time.Second
+	// maxLacks bounds the refusals remembered: each target of a cell for a few versions.
+	maxLacks = 4096
+	// remoteCost is the price of a replica in another failure domain, the time between
+	// domains.
+	remoteCost = time.Millisecond
+	// defaultTime stands in for the expected time of a replica that reported none.
+	defaultTime = 5 * time.Millisecond
+)
+
+// Picker chooses replicas for the attempts of queries. It belongs to one query loop.
 type Picker struct {
-	next uint64
+	// Domain is the failure domain of the host, whose replicas are preferred.
+	Domain string
+	// Rand draws the replicas to compare.
+	Rand *rand.Rand
+
+	config   *wigeonspindle.Config
+	replicas map[string]map[string][]*replica
+	targets  map[string]*replica
+	out      map[string]bool
+	lacks    map[lack]time.Time
+
+	candidates, near, far []*replica
 }
 
-// Pick returns a replica of the shard that was not tried yet.
-func (p *Picker) Pick(index wigeonspindle.Index, _, shard string, tried []string) (wigeonspindle.Target, bool) {
-	var candidates []wigeonspindle.Target
-	for _, target := range index.Targets {
-		if !target.Leaving && slices.Contains(target.Shards, shard) && !slices.Contains(tried, target.Name) {
-			candidates = append(candidates, target)
+// replica is a target with what this host knows about it.
+type replica struct {
+	target   wigeonspindle.Target
+	load     wigeonspindle.Load
+	observed time.Time
+	sent     int // sent counts the attempts since the load was observed.
+	avoid    time.Time
+}
+
+type lack struct{ target, version string }
+
+// Configure takes a configuration and the failure domains that are out of service beyond
+// those that it names. What is known about the targets is kept.
+func (p *Picker) Configure(config *wigeonspindle.Config, out []string) {
+	known := p.targets
+	p.config = config
+	p.replicas = make(map[string]map[string][]*replica, len(config.Indexes))
+	p.targets = make(map[string]*replica)
+	p.out = make(map[string]bool)
+	for _, domain := range config.Domains {
+		p.out[domain.Name] = domain.Out
+	}
+	for _, domain := range out {
+		p.out[domain] = true
+	}
+	for _, index := range config.Indexes {
+		shards := make(map[string][]*replica)
+		p.replicas[index.Name] = shards
+		for _, target := range index.Targets {
+			entry := known[target.Name]
+			if entry == nil {
+				entry = &replica{}
+			}
+			entry.target = target
+			p.targets[target.Name] = entry
+			for _, shard := range target.Shards {
+				shards[shard] = append(shards[shard], entry)
+			}
 		}
 	}
-	if len(candidates) == 0 {
-		return wigeonspindle.Target{}, false
+}
+
+// Config returns the configuration in use.
+func (p *Picker) Config() *wigeonspindle.Config { return p.config }
+
+// Observe takes the load that an owner reported with an outcome.
+func (p *Picker) Observe(target string, load wigeonspindle.Load, now time.Time) {
+	if r := p.targets[target]; r != nil && load != (wigeonspindle.Load{}) {
+		r.load, r.observed, r.sent = load, now, 0
+	}
+}
+
+// Avoid makes a replica the last choice for a while, because its owner is not reachable or
+// it is leaving.
+func (p *Picker) Avoid(target string, now time.Time) {
+	if r := p.targets[target]; r != nil {
+		r.avoid = now.Add(avoidPeriod)
+	}
+}
+
+// Lacks notes that a replica refused a snapshot.
+func (p *Picker) Lacks(target, version string, now time.Time) {
+	if p.lacks == nil {
+		p.lacks = make(map[lack]time.Time)
+	}
+	if len(p.lacks) >= maxLacks {
+		clear(p.lacks)
+	}
+	p.lacks[lack{target, version}] = now.Add(lackPeriod)
+}
+
+// Holds reports whether a replica of the shard is in service and not known to lack the
+// snapshot.
+func (p *Picker) Holds(index, version, shard string, now time.Time) bool {
+	for _, r := range p.replicas[index][shard] {
+		if p.serves(r, version, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Picker) serves(r *replica, version string, now time.Time) bool {
+	if r.target.Leaving || p.out[r.target.Domain] {
+		return false
+	}
+	return len(p.lacks) == 0 || !now.Before(p.lacks[lack{r.target.Name, version}])
+}
+
+// Pick returns a replica of the shard that was not tried yet: the better one of two, drawn
+// from the host's own failure domain and from the others.
+func (p *Picker) Pick(index, version, shard string, tried []string, now time.Time) (string, bool) {
+	p.candidates = p.candidates[:0]
+	for _, r := range p.replicas[index][shard] {
+		if p.serves(r, version, now) && !slices.Contains(tried, r.target.Name) {
+			p.candidates = append(p.candidates, r)
+		}
+	}
+	p.keep(func(r *replica) bool { return !now.Before(r.avoid) })
+	p.keep(func(r *replica) bool { return r.level(now) >= 1 || p.Rand.Float64() < r.level(now) })
+	if len(p.candidates) == 0 {
+		return "", false
+	}
+	p.near, p.far = p.near[:0], p.far[:0]
+	for _, r := range p.candidates {
+		if r.target.Domain == p.Domain {
+			p.near = append(p.near, r)
+		} else {
+			p.far = append(p.far, r)
+		}
+	}
+	chosen := p.better(p.draw(p.near), p.draw(p.far), now)
+	if len(p.near) == 0 || len(p.far) == 0 {
+		chosen = p.better(p.draw(p.candidates), p.draw(p.candidates), now)
+	}
+	chosen.sent++
+	return chosen.target.Name, true
+}
+
+// keep drops the candidates that fail the condition unless all of them do.
+func (p *Picker) keep(condition func(*replica) bool) {
+	kept := 0
+	for i, r := range p.candidates {
+		if condition(r) {
+			p.candidates[i], p.candidates[kept] = p.candidates[kept], r
+			kept++
+		}
+	}
+	if kept > 0 {
+		p.candidates = p.candidates[:kept]
+	}
+}
+
+func (p *Picker) draw(from []*replica) *replica {
+	if len(from) == 0 {
+		return nil
+	}
+	return from[p.Rand.IntN(len(from))]
+}
+
+func (p *Picker) better(a, b *replica, now time.Time) *replica {
+	if a == nil || b != nil && p.cost(b, now) < p.cost(a, now) {
+		return b
+	}
+	return a
+}
+
+// cost is the time until an attempt sent now is expected to end.
+func (p *Picker) cost(r *replica, now time.Time) time.Duration {
+	expected, ahead := defaultTime, r.sent
+	if now.Sub(r.observed) < loadPeriod {
+		ahead += r.load.Waiting + r.load.Running
+		if r.load.Expected > 0 {
+			expected = r.load.Expected
+		}
+	} else {
+		r.sent = 0
+	}
+	cost := expected + time.Duration(float64(expected)*float64(ahead)/float64(max(r.target.Slots, 1))/r.level(now))
+	if r.target.Domain != p.Domain {
+		cost += remoteCost
+	}
+	return cost
+}
+
+// level returns the ramp level that the owner reported last, or 1 when it is not known.
+func (r *replica) level(now time.Time) float64 {
+	if r.load.Level <= 0 || now.Sub(r.observed) >= levelPeriod {
+		return 1
 	}
-	p.next++
-	return candidates[p.next%uint64(len(candidates))], true
+	return min(r.load.Level, 1)
 }
--- /dev/null
+++ b/internal/coordination/router/router_test.go
@@ -0,0 +1,96 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/router"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// picker returns a picker in domain "a" over one shard with a replica per domain.
+func picker(domains ...string) *router.Picker {
+	index := wigeonspindle.Index{Name: "lookup"}
+	for i, domain := range domains {
+		index.Targets = append(index.Targets, wigeonspindle.Target{
+			Name: fmt.Sprintf("t%d", i), Domain: domain, Shards: []string{"s"}, Slots: 2,
+		})
+	}
+	p := &router.Picker{Domain: "a", Rand: rand.New(rand.NewPCG(1, 1))}
+	p.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil)
+	return p
+}
+
+// shares returns how many of 1000 picks went to each replica, under a constant load.
+func shares(p *router.Picker, loads map[string]wigeonspindle.Load) map[string]int {
+	counts := make(map[string]int)
+	for range 1000 {
+		for target, load := range loads {
+			p.Observe(target, load, epoch)
+		}
+		target, _ := p.Pick("lookup", "v1", "s", nil, epoch)
+		counts[target]++
+	}
+	return counts
+}
+
+// TestPick guards against work for replicas that are leaving, out of service, without the
+// snapshot or already tried, and against giving up while one is left.
+func TestPick(t *testing.T) {
+	p := picker("a", "b", "c")
+	for range 100 {
+		if got, _ := p.Pick("lookup", "v1", "s", []string{"t0", "t2"}, epoch); got != "t1" {
+			t.Fatalf("untried replica: got %s, want t1", got)
+		}
+	}
+	p.Lacks("t0", "v1", epoch)
+	p.Avoid("t1", epoch)
+	for range 100 {
+		if got, _ := p.Pick("lookup", "v1", "s", nil, epoch); got != "t2" {
+			t.Fatalf("replica with the snapshot: got %s, want t2", got)
+		}
+	}
+	p.Lacks("t2", "v1", epoch)
+	if got, _ := p.Pick("lookup", "v1", "s", nil, epoch); got != "t1" {
+		t.Errorf("last choice: got %s, want t1", got)
+	}
+	config := *p.Config()
+	config.Domains = []wigeonspindle.Domain{{Name: "b", Out: true}}
+	p.Configure(&config, nil)
+	if p.Holds("lookup", "v1", "s", epoch) {
+		t.Error("domain out: got a replica, want none")
+	}
+	if !p.Holds("lookup", "v1", "s", epoch.Add(time.Minute)) || !p.Holds("lookup", "v0", "s", epoch) {
+		t.Error("refusal of the snapshot: want it forgotten after a while and limited to the version")
+	}
+}
+
+// TestShares guards against more traffic to a ramping replica than its level, against
+// ignoring the queues, and against leaving the own failure domain without need.
+func TestShares(t *testing.T) {
+	warm := wigeonspindle.Load{Level: 1, Expected: 5 * time.Millisecond}
+	ramping, queued := warm, warm
+	ramping.Level, queued.Waiting = 0.1, 10
+	if got := shares(picker("a", "b"), map[string]wigeonspindle.Load{"t0": ramping, "t1": warm})["t0"]; got > 130 {
+		t.Errorf("ramping replica at level 0.1: got %d of 1000, want at most 100 and noise", got)
+	}
+	if got := shares(picker("a", "b"), map[string]wigeonspindle.Load{"t0": queued, "t1": warm})["t0"]; got != 0 {
+		t.Errorf("replica with a queue: got %d of 1000, want 0", got)
+	}
+	if got := shares(picker("a", "b"), map[string]wigeonspindle.Load{"t0": warm, "t1": warm})["t0"]; got != 1000 {
+		t.Errorf("own failure domain: got %d of 1000, want 1000", got)
+	}
+}
+
+// BenchmarkPick measures one choice between two replicas.
+func BenchmarkPick(b *testing.B) {
+	p := picker("a", "b")
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Pick("lookup", "v1", "s", nil, epoch)
+	}
+}
--- a/internal/protocol/encoder/encoder.go
+++ b/internal/protocol/encoder/encoder.go
@@ -46,12 +46,17 @@
 	if query.Class == "" {
 		query.Class = wigeonspindle.Idempotent
 	}
+	verdict := wigeonspindle.NotRun
+	if query.Class == wigeonspindle.Once {
+		// The request may be a repeat, with no time left, of one that ran.
+		verdict = wigeonspindle.MayHaveRun
+	}
 	switch {
 	case query.Index == "":
 		return query, invalid("index", "must name an index")
 	case request.Budget <= 0 || request.Budget.Value() > MaxBudget:
 		return query, &wigeonspindle.Refusal{
-			Code: wigeonspindle.CodeExpired, Verdict: wigeonspindle.NotRun, Field: "budget",
+			Code: wigeonspindle.CodeExpired, Verdict: verdict, Field: "budget",
 			Message: fmt.Sprintf("must be more than 0s and at most %s", MaxBudget),
 		}
 	case query.Class == wigeonspindle.Once:
--- /dev/null
+++ b/internal/transport/launcher/fleet_test.go
@@ -0,0 +1,216 @@
+package launcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
+)
+
+// fleet is a set of hosts in this process whose targets are a function. The links between
+// the hosts are real.
+type fleet struct {
+	hosts   []*launcher.Host
+	targets *targets
+	meter   *meter
+}
+
+// newFleet starts hosts over one index with the given shards, two replicas each, and waits
+// until all of them answer.
+func newFleet(t *testing.T, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+	t.Helper()
+	return newFleetAt(t, systemClock{}, hosts, shards, rules)
+}
+
+func newFleetAt(t *testing.T, clock wigeonspindle.Clock, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+	t.Helper()
+	index := wigeonspindle.Index{Name: "lookup", Prefer: wigeonspindle.CoverageFirst, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}}}
+	for i := range shards {
+		shard := fmt.Sprintf("s%d", i)
+		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
+		for _, domain := range []string{"a", "b"} {
+			index.Targets = append(index.Targets, wigeonspindle.Target{
+				Name: shard + domain, Address: "127.0.0.1:1", Domain: domain, Shards: []string{shard},
+				Slots: 8, Connections: 50, Floor: 1000,
+			})
+		}
+	}
+	f := &fleet{targets: &targets{runs: make(map[string]int)}, meter: &meter{dropped: make(map[string]int)}}
+	store := &memory{config: wigeonspindle.Config{Revision: 1, Rules: rules, Indexes: []wigeonspindle.Index{index}}}
+	for i := range hosts {
+		domain := string(rune('a' + i))
+		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2}
+		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
+		f.hosts = append(f.hosts, &launcher.Host{
+			Settings: settings, Clock: clock, Logger: log.New(io.Discard), Store: store, Lister: store,
+			Sender: f.targets, Meter: f.meter,
+		})
+	}
+	for _, host := range f.hosts {
+		if err := host.Run(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range f.hosts {
+		f.await(t, i, shards)
+	}
+	return f
+}
+
+// await waits until a host gives whole answers and knows all others.
+func (f *fleet) await(t *testing.T, host, shards int) {
+	t.Helper()
+	for range 200 {
+		answer := f.hosts[host].Query(context.Background(), query(time.Second))
+		if answer.Coverage.Answered == shards && len(f.hosts[host].Addresses("").Addresses) == len(f.hosts) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("host %d gave no whole answer", host)
+}
+
+func (f *fleet) close(hosts ...*launcher.Host) {
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, host := range hosts {
+		_ = host.Close(stopped)
+	}
+}
+
+// identity returns an identity that a host issued for itself.
+func (f *fleet) identity(t *testing.T, host int) wigeonspindle.Identity {
+	t.Helper()
+	identity, err := encoder.ParseIdentity(f.hosts[host].Addresses(f.hosts[host].Settings.Domain).Identity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return identity
+}
+
+func query(budget time.Duration) wigeonspindle.Query {
+	now := time.Now()
+	return wigeonspindle.Query{
+		Index: "lookup", Class: wigeonspindle.Idempotent, Body: []byte("wool"), Caller: "test", Arrived: now, Deadline: now.Add(budget),
+	}
+}
+
+func once(identity wigeonspindle.Identity, budget time.Duration) wigeonspindle.Query {
+	request := query(budget)
+	request.Class, request.Identity, request.Shards = wigeonspindle.Once, identity, []string{"s0"}
+	return request
+}
+
+// targets is a Sender that counts the runs of each identity.
+type targets struct {
+	mutex sync.Mutex
+	run   func(ctx context.Context, attempt wigeonspindle.Attempt, outcome *wigeonspindle.Outcome)
+	runs  map[string]int
+	alone int
+}
+
+// script sets what the targets do. It returns after no earlier script is used for new work.
+func (s *targets) script(run func(ctx context.Context, attempt wigeonspindle.Attempt, outcome *wigeonspindle.Outcome)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.run = run
+}
+
+// count returns how often an identity ran.
+func (s *targets) count(identity wigeonspindle.Identity) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs[identity.Nonce]
+}
+
+// Send runs an attempt.
+func (s *targets) Send(ctx context.Context, target wigeonspindle.Target, attempt wigeonspindle.Attempt) wigeonspindle.Outcome {
+	outcome := wigeonspindle.Outcome{
+		ID: attempt.ID, Query: attempt.Query, Target: target.Name, Shard: attempt.Shard, Snapshot: attempt.Snapshot,
+		Generation: attempt.Generation, Verdict: wigeonspindle.Ran, Body: []byte(attempt.Shard),
+	}
+	s.mutex.Lock()
+	run := s.run
+	s.mutex.Unlock()
+	if run != nil {
+		run(ctx, attempt, &outcome)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if outcome.Verdict != wigeonspindle.NotRun {
+		s.runs[attempt.Identity.Nonce]++
+	}
+	if attempt.Alone {
+		s.alone++
+	}
+	return outcome
+}
+
+// memory is a store and a host list that never change.
+type memory struct {
+	config   wigeonspindle.Config
+	listings []wigeonspindle.Listing
+}
+
+// Get returns the configuration.
+func (m *memory) Get(_ context.Context, key string) (wigeonspindle.Record, error) {
+	data, err := json.Marshal(m.config)
+	return wigeonspindle.Record{Key: key, Value: data, Version: 1}, err
+}
+
+// Swap refuses every change.
+func (m *memory) Swap(context.Context, wigeonspindle.Record) (wigeonspindle.Record, error) {
+	return wigeonspindle.Record{}, &wigeonspindle.Refusal{Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun}
+}
+
+// Watch returns the first version and then waits.
+func (m *memory) Watch(ctx context.Context, key string, after uint64) (wigeonspindle.Record, error) {
+	if after == 0 {
+		return m.Get(ctx, key)
+	}
+	<-ctx.Done()
+	return wigeonspindle.Record{}, ctx.Err()
+}
+
+// List returns the hosts.
+func (m *memory) List(context.Context) ([]wigeonspindle.Listing, error) { return m.listings, nil }
+
+// meter counts what full rings refused and the kinds of sends.
+type meter struct {
+	mutex   sync.Mutex
+	dropped map[string]int
+	sent    map[wigeonspindle.SendKind]int
+}
+
+// Answered ignores an answer.
+func (m *meter) Answered(string, wigeonspindle.Verdict, wigeonspindle.Coverage, time.Duration) {}
+
+// Refused ignores a refusal.
+func (m *meter) Refused(string, wigeonspindle.Code) {}
+
+// Sent counts a send.
+func (m *meter) Sent(_ string, kind wigeonspindle.SendKind) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.sent == nil {
+		m.sent = make(map[wigeonspindle.SendKind]int)
+	}
+	m.sent[kind]++
+}
+
+// Dropped counts a dropped element.
+func (m *meter) Dropped(ring string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.dropped[ring]++
+}
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/state/holder"
 	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
@@ -31,6 +32,7 @@
 	Store    wigeonspindle.Store
 	Lister   wigeonspindle.Lister
 	Sender   wigeonspindle.Sender
+	Meter    wigeonspindle.Meter // Meter may be nil.
 	Logger   *log.Logger
 
 	self      wigeonspindle.Host
@@ -61,6 +63,9 @@
 func (h *Host) Run() error {
 	h.self = h.Settings.Host(NewIncarnation())
 	h.stop = make(chan struct{})
+	if h.Meter == nil {
+		h.Meter = noMeter{}
+	}
 	h.recorder = &recorder.Recorder{Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize}
 	h.holder = &holder.Holder{}
 	h.view.Store(&wigeonspindle.View{Self: h.self})
@@ -139,6 +144,11 @@
 			answer.Addresses = append(answer.Addresses, address)
 		}
 	}
+	if len(answer.Addresses) > 0 {
+		answer.Identity = encoder.FormatIdentity(wigeonspindle.Identity{
+			Incarnation: answer.Addresses[0].Incarnation, Issued: h.Clock.Now(), Nonce: string(NewIncarnation()),
+		})
+	}
 	return answer
 }
 
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -16,16 +16,23 @@
 	h.host.route(message, reply)
 }
 
-// Unsent reports attempts that were never written as not run.
+// Unsent reports attempts that were never written as not run, and ends the wait for a
+// forwarded request.
 func (h *linkHandler) Unsent(_ string, message wigeonspindle.Envelope) {
-	if len(message.Attempts) > 0 {
+	switch {
+	case len(message.Attempts) > 0:
 		h.host.routeOutcomes(unreachable(message.Attempts))
+	case message.Forward != nil:
+		h.host.unsentForward(*message.Forward)
 	}
 }
 
-// Up records that a link is ready.
+// Up records that a link is ready and has the host told what it missed.
 func (h *linkHandler) Up(peer string) {
 	h.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventLink, Peer: peer, Detail: "up"})
+	if !h.host.queries[0].outcomes.Offer(outcomeInput{up: peer}) {
+		h.host.Meter.Dropped("outcomes")
+	}
 }
 
 // Down reports a broken link to every query loop.
@@ -63,6 +70,13 @@
 		return true
 	case message.Outcomes != nil:
 		return h.routeOutcomes(message.Outcomes)
+	case message.Forward != nil:
+		h.routeForward(*message.Forward, reply)
+		return true
+	case message.Forwarded != nil:
+		return h.routeForwarded(*message.Forwarded)
+	case message.Suspicion != nil:
+		return h.routeSuspicion(*message.Suspicion)
 	case message.Claim != nil, message.Grant != nil, message.Release != nil, message.Notice != nil, message.Acknowledgement != nil:
 		return h.leases.inputs.Offer(leaseInput{message: message, reply: reply})
 	}
@@ -78,6 +92,8 @@
 	}
 }
 
+// routeOutcomes hands outcomes to the query loops that wait for them. A full ring loses
+// them; then their attempts count as MayHaveRun at the deadline of the query.
 func (h *Host) routeOutcomes(outcomes []wigeonspindle.Outcome) bool {
 	batches := make(map[uint64][]wigeonspindle.Outcome)
 	for _, outcome := range outcomes {
@@ -86,7 +102,10 @@
 	}
 	complete := true
 	for loop, batch := range batches {
-		complete = h.queries[loop].outcomes.Offer(outcomeInput{outcomes: batch}) && complete
+		if !h.queries[loop].outcomes.Offer(outcomeInput{outcomes: batch}) {
+			h.Meter.Dropped("outcomes")
+			complete = false
+		}
 	}
 	return complete
 }
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -1,24 +1,44 @@
 package launcher
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/admitter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/coordinator"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/deduplicator"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/router"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
-// Bounds of the rings of a query loop.
+// Bounds of the rings and tables of a query loop.
 const (
 	queriesSize  = 4096
 	outcomesSize = 4096
+	turnSize     = 64 // turnSize bounds the inputs of each ring that one turn takes.
+	// shardsLimit bounds the shards of running queries. One costs about 700 bytes, so that
+	// a full loop holds about 45 MB.
+	shardsLimit = 65536
+	// identitiesSize allows 50 once requests a second at a lifetime of 10 minutes.
+	identitiesSize  = 32768
+	identitiesBytes = 64 << 20
+	suspectsSize    = 1024
+	successesSize   = 32768
+	defaultPeriod   = 10 * time.Minute // defaultPeriod is the lifetime and the expiry without rules.
+	hedgeBurst      = 100
+	retryShare      = 0.1
+	// retryBurst covers the attempts that one broken link to an owner ends at once.
+	retryBurst = 1000
 )
 
-// tickPeriod is how often a query loop looks for queries whose timer has run out.
+// tickPeriod is how often a target loop looks for attempts whose time has run out.
 const tickPeriod = time.Millisecond
 
 // queryLoop is the duty that coordinates queries. It alone owns their state.
@@ -28,69 +48,169 @@
 	queries  *queuer.Ring[queryInput]
 	outcomes *queuer.Ring[outcomeInput]
 
-	counter uint64
-	running map[uint64]*runningQuery
-	picker  *router.Picker
+	counter    uint64
+	running    map[uint64]*runningQuery
+	timers     timers
+	picker     *router.Picker
+	estimators map[string]*hedger.Estimator
+	hedges     *hedger.Budget
+	retries    *hedger.Budget
+	admitter   *admitter.Admitter
+
+	deduplicator *deduplicator.Deduplicator
+	once         map[wigeonspindle.Identity]*runningQuery // once holds the once requests in progress.
+	forwards     map[uint64]*forwarding
+	quarantiner  *quarantiner.Quarantiner
+
+	// What the current turn sends.
+	attempts map[string][]wigeonspindle.Attempt
+	cancels  map[string][]wigeonspindle.Cancel
+	unsent   []wigeonspindle.Outcome
 }
 
-// queryInput is a new query or, with Abandoned set, the ID of one whose caller left.
+// respond hands an answer to whoever waits for it. It must not block.
+type respond func(wigeonspindle.Answer)
+
+// queryInput is a new query or, with abandoned set, the ID of one whose caller left.
 type queryInput struct {
 	query     wigeonspindle.Query
-	answer    chan<- wigeonspindle.Answer
+	respond   respond
 	abandoned bool
 }
 
-// outcomeInput is a batch of outcomes or the news that a link to a host broke.
+// outcomeInput is a batch of outcomes, the answer to a forwarded request, news about a
+// fingerprint, or the news that a link to a host broke or is ready.
 type outcomeInput struct {
-	outcomes []wigeonspindle.Outcome
-	down     string
+	outcomes  []wigeonspindle.Outcome
+	forwarded *wigeonspindle.Forwarded
+	suspicion *wigeonspindle.Suspicion
+	down      string
+	up        string
 }
 
+// runningQuery is a query in progress with those who wait for its answer.
 type runningQuery struct {
+	query       wigeonspindle.Query
+	waiters     []waiter
 	coordinator *coordinator.Coordinator
-	answer      chan<- wigeonspindle.Answer
-	sent        map[wigeonspindle.AttemptID]sentAttempt
+	estimator   *hedger.Estimator
+	timer       *timer
+	sent        map[uint64]sentAttempt // sent is keyed by the attempt's counter.
+	shards      int                    // shards is the work counted by the admitter.
+}
+
+// waiter is a caller of a query in progress. A once request has one for each repeat.
+type waiter struct {
+	query   wigeonspindle.Query
+	respond respond
 }
 
 type sentAttempt struct {
-	attempt wigeonspindle.Attempt
+	attempt *wigeonspindle.Attempt
 	owner   string
 }
 
 func newQueryLoop(host *Host, index int) *queryLoop {
-	return &queryLoop{
-		host: host, index: uint64(index),
-		queries:  queuer.New[queryInput](queriesSize),
-		outcomes: queuer.New[outcomeInput](outcomesSize),
-		running:  make(map[uint64]*runningQuery),
-		picker:   &router.Picker{},
+	seed := uint64(host.Clock.Now().UnixNano())
+	loop := &queryLoop{
+		host:         host,
+		index:        uint64(index),
+		queries:      queuer.New[queryInput](queriesSize),
+		outcomes:     queuer.New[outcomeInput](outcomesSize),
+		running:      make(map[uint64]*runningQuery),
+		picker:       &router.Picker{Domain: host.self.Domain, Rand: rand.New(rand.NewPCG(seed, uint64(index)))},
+		estimators:   make(map[string]*hedger.Estimator),
+		hedges:       &hedger.Budget{Burst: hedgeBurst},
+		retries:      &hedger.Budget{Share: retryShare, Burst: retryBurst},
+		admitter:     &admitter.Admitter{Limit: shardsLimit, MinSamples: hedger.MinSamples},
+		deduplicator: &deduplicator.Deduplicator{Incarnation: host.self.Incarnation, Size: identitiesSize, Bytes: identitiesBytes},
+		once:         make(map[wigeonspindle.Identity]*runningQuery),
+		forwards:     make(map[uint64]*forwarding),
+		quarantiner:  &quarantiner.Quarantiner{Size: suspectsSize, Successes: successesSize},
+		attempts:     make(map[string][]wigeonspindle.Attempt),
+		cancels:      make(map[string][]wigeonspindle.Cancel),
 	}
+	loop.retries.Fill()
+	return loop
 }
 
 // Query runs a query and waits for its answer. The answer always comes, at the latest
 // shortly after the deadline, because the query loop ends every query at its deadline.
 func (h *Host) Query(ctx context.Context, query wigeonspindle.Query) wigeonspindle.Answer {
 	query.ID = h.nextQuery.Add(1)
-	query.Fingerprint = xxhash.Sum64(append([]byte(query.Index+"\x00"), query.Body...))
+	query.Fingerprint = fingerprint(query)
 	if query.Trace == "" {
 		query.Trace = string(NewIncarnation())
 	}
-	loop := h.queries[query.ID%uint64(len(h.queries))]
+	answer := h.query(ctx, query)
+	if answer.Refusal != nil {
+		h.Meter.Refused(query.Index, answer.Refusal.Code)
+	} else {
+		h.Meter.Answered(query.Index, answer.Verdict, answer.Coverage, h.Clock.Now().Sub(query.Arrived))
+	}
+	return answer
+}
+
+func (h *Host) query(ctx context.Context, query wigeonspindle.Query) wigeonspindle.Answer {
+	loop := h.queryLoop(query)
 	answer := make(chan wigeonspindle.Answer, 1)
-	if !loop.queries.Offer(queryInput{query: query, answer: answer}) {
-		return refused(query, wigeonspindle.CodeOverloaded, wigeonspindle.NotRun, "the host is saturated")
+	input := queryInput{query: query, respond: func(a wigeonspindle.Answer) { answer <- a }}
+	if !loop.offer(ctx, input) {
+		h.Meter.Dropped("queries")
+		return refused(query, wigeonspindle.CodeOverloaded, unseen(query), "the host is saturated")
 	}
 	select {
 	case a := <-answer:
 		return a
 	case <-ctx.Done():
-		loop.queries.Offer(queryInput{query: query, abandoned: true})
+		if !loop.queries.Offer(queryInput{query: query, abandoned: true}) {
+			h.Meter.Dropped("queries") // The query runs on until its deadline.
+		}
 		return refused(query, wigeonspindle.CodeCancelled, wigeonspindle.MayHaveRun, "the caller left")
 	case <-h.stop:
 		return refused(query, wigeonspindle.CodeLeaving, wigeonspindle.MayHaveRun, "the host stopped")
 	}
 }
 
+// offer hands a query to the loop. A once request waits for room until its deadline,
+// because without the table of identities a refusal cannot say that it was not run.
+func (l *queryLoop) offer(ctx context.Context, input queryInput) bool {
+	if l.queries.Offer(input) {
+		return true
+	}
+	if input.query.Class != wigeonspindle.Once {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, input.query.Deadline.Sub(l.host.Clock.Now()))
+	defer cancel()
+	return l.queries.Put(input, ctx.Done())
+}
+
+// queryLoop returns the loop of a query. All repeats of a once request meet in one loop.
+func (h *Host) queryLoop(query wigeonspindle.Query) *queryLoop {
+	if query.Class == wigeonspindle.Once {
+		return h.queries[xxhash.Sum64String(query.Identity.Nonce)%uint64(len(h.queries))]
+	}
+	return h.queries[query.ID%uint64(len(h.queries))]
+}
+
+// fingerprint hashes the index and the body of a query.
+func fingerprint(query wigeonspindle.Query) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(query.Index + "\x00") // Writing to a digest never fails.
+	_, _ = digest.Write(query.Body)
+	return digest.Sum64()
+}
+
+// unseen returns the verdict on a query that no query loop has seen. A once request may be
+// a repeat of one that ran; only the table of identities knows.
+func unseen(query wigeonspindle.Query) wigeonspindle.Verdict {
+	if query.Class == wigeonspindle.Once {
+		return wigeonspindle.MayHaveRun
+	}
+	return wigeonspindle.NotRun
+}
+
 func refused(query wigeonspindle.Query, code wigeonspindle.Code, verdict wigeonspindle.Verdict, message string) wigeonspindle.Answer {
 	return wigeonspindle.Answer{
 		ID: query.ID, Trace: query.Trace, Verdict: verdict,
@@ -98,9 +218,11 @@
 	}
 }
 
+// run takes inputs in turns. What one turn sends to an owner travels in one message.
 func (l *queryLoop) run() {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	next := time.NewTimer(time.Hour)
+	defer next.Stop()
+	queries, outcomes := make([]queryInput, 0, turnSize), make([]outcomeInput, 0, turnSize)
 	for {
 		select {
 		case <-l.host.stop:
@@ -109,149 +231,129 @@
 			l.accept(input)
 		case input := <-l.outcomes.C():
 			l.take(input)
-		case <-ticker.C:
-			l.tick()
+		case <-next.C:
+		}
+		for _, input := range l.outcomes.Drain(outcomes) {
+			l.take(input)
+		}
+		for _, input := range l.queries.Drain(queries) {
+			l.accept(input)
 		}
+		l.timers.run(l.host.Clock.Now())
+		l.flush()
+		next.Reset(l.timers.wait(l.host.Clock.Now()))
 	}
 }
 
 func (l *queryLoop) accept(input queryInput) {
 	query := input.query
-	if input.abandoned {
-		l.abandon(query.ID)
-		return
-	}
-	config := l.host.holder.Config()
-	if config == nil {
-		input.answer <- refused(query, wigeonspindle.CodeUnavailable, wigeonspindle.NotRun, "no configuration is known yet")
-		return
-	}
-	for _, index := range config.Indexes {
-		if index.Name != query.Index {
-			continue
+	switch {
+	case input.abandoned:
+		// A once request runs on, so that a repeat gets its recorded answer.
+		if running := l.running[query.ID]; running != nil && query.Class != wigeonspindle.Once {
+			l.act(running, running.coordinator.Stop(wigeonspindle.CodeCancelled, "the caller left", l.host.Clock.Now()))
 		}
-		machine := &coordinator.Coordinator{Query: query, Index: index, Picker: l.picker, NextID: l.nextID}
-		l.running[query.ID] = &runningQuery{
-			coordinator: machine, answer: input.answer, sent: make(map[wigeonspindle.AttemptID]sentAttempt),
-		}
-		l.act(query.ID, machine.Start(l.host.Clock.Now()))
-		return
+	case query.Class == wigeonspindle.Once:
+		l.acceptOnce(input)
+	default:
+		l.begin(&runningQuery{query: query, waiters: []waiter{{query, input.respond}}})
 	}
-	answer := refused(query, wigeonspindle.CodeInvalid, wigeonspindle.NotRun, "the index is unknown")
-	answer.Refusal.Field = "index"
-	input.answer <- answer
-}
-
-// nextID returns an attempt identity whose counter leads outcomes back to this loop.
-func (l *queryLoop) nextID() wigeonspindle.AttemptID {
-	l.counter += uint64(len(l.host.queries))
-	return wigeonspindle.AttemptID{Entry: l.host.self.Incarnation, Counter: l.counter + l.index}
 }
 
-func (l *queryLoop) take(input outcomeInput) {
-	for _, outcome := range input.outcomes {
-		l.outcome(outcome)
-	}
-	if input.down == "" {
+// begin starts a query or refuses it with verdict NotRun.
+func (l *queryLoop) begin(running *runningQuery) {
+	refusal := l.admit(running)
+	if refusal == nil {
+		l.running[running.query.ID] = running
+		running.timer = l.timers.add(running.query.Deadline, func(now time.Time) { l.tick(running, now) })
+		l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventAdmitted, Trace: running.query.Trace, Detail: running.query.Index})
+		l.act(running, running.coordinator.Start(l.host.Clock.Now()))
 		return
 	}
-	for _, running := range l.running {
-		for _, sent := range running.sent {
-			if sent.owner == input.down {
-				l.outcome(failed(sent.attempt, wigeonspindle.MayHaveRun, wigeonspindle.CodeBroken, "the link to the owner broke"))
-			}
-		}
-	}
+	answer := refused(running.query, refusal.Code, refusal.Verdict, refusal.Message)
+	answer.Refusal = refusal
+	l.host.recorder.Record(wigeonspindle.Event{
+		Kind: wigeonspindle.EventRefused, Trace: running.query.Trace, Verdict: refusal.Verdict.String(), Detail: string(refusal.Code),
+	})
+	l.conclude(running, answer)
 }
 
-func (l *queryLoop) outcome(outcome wigeonspindle.Outcome) {
-	running := l.running[outcome.Query]
-	if running == nil {
-		return
+// admit prepares the state machine of a query, or refuses the query before it ran.
+func (l *queryLoop) admit(running *runningQuery) *wigeonspindle.Refusal {
+	query, now := running.query, l.host.Clock.Now()
+	config := l.configure()
+	if config == nil {
+		return notRun(wigeonspindle.CodeUnavailable, "", "no configuration is known yet")
 	}
-	delete(running.sent, outcome.ID)
-	l.act(outcome.Query, running.coordinator.Outcome(outcome, l.host.Clock.Now()))
-}
-
-func (l *queryLoop) tick() {
-	now := l.host.Clock.Now()
-	for id, running := range l.running {
-		if !now.Before(running.coordinator.Wake()) {
-			l.act(id, running.coordinator.Tick(now))
+	var index *wigeonspindle.Index
+	for i := range config.Indexes {
+		if config.Indexes[i].Name == query.Index {
+			index = &config.Indexes[i]
 		}
 	}
-}
-
-// act carries out the actions of a query. Attempts and cancels are batched per owner.
-func (l *queryLoop) act(id uint64, actions []coordinator.Action) {
-	running := l.running[id]
-	attempts := make(map[string][]wigeonspindle.Attempt)
-	cancels := make(map[string][]wigeonspindle.Cancel)
-	var unsent []wigeonspindle.Outcome
-	for _, action := range actions {
-		switch {
-		case action.Send != nil:
-			owner, ok := l.host.ownership.Load().Owners[action.Send.Target]
-			if !ok {
-				unsent = append(unsent, failed(*action.Send, wigeonspindle.NotRun, wigeonspindle.CodeNotOwner, "the target has no owner"))
-				continue
-			}
-			running.sent[action.Send.ID] = sentAttempt{attempt: *action.Send, owner: owner.Name}
-			attempts[owner.Name] = append(attempts[owner.Name], *action.Send)
-		case action.Cancel != nil:
-			if sent, ok := running.sent[action.Cancel.ID]; ok {
-				delete(running.sent, action.Cancel.ID)
-				cancels[sent.owner] = append(cancels[sent.owner], *action.Cancel)
-			}
-		case action.Event != nil:
-			l.host.recorder.Record(*action.Event)
-		case action.Answer != nil:
-			running.answer <- *action.Answer
-		}
+	if index == nil || len(index.Snapshots) == 0 {
+		return notRun(wigeonspindle.CodeInvalid, "index", "the index is unknown")
 	}
-	for owner, batch := range cancels {
-		l.host.send(owner, wigeonspindle.Envelope{Cancels: batch})
+	if l.quarantiner.State(query.Fingerprint, now) == quarantiner.Quarantined {
+		return notRun(wigeonspindle.CodeQuarantined, "", "the request has crashed targets")
 	}
-	for owner, batch := range attempts {
-		if !l.host.send(owner, wigeonspindle.Envelope{Attempts: batch}) {
-			unsent = append(unsent, unreachable(batch)...)
-		}
+	estimator := l.estimators[index.Name]
+	shards := len(query.Shards)
+	if shards == 0 {
+		shards = len(index.Snapshots[len(index.Snapshots)-1].Shards)
 	}
-	if running.coordinator.Done() {
-		delete(l.running, id)
-		return
+	if refusal := l.admitter.Admit(query, shards, estimator.Estimate(now), now); refusal != nil {
+		return refusal
 	}
-	for _, outcome := range unsent {
-		l.outcome(outcome)
+	running.shards, running.estimator = shards, estimator
+	running.sent = make(map[uint64]sentAttempt, shards)
+	running.coordinator = &coordinator.Coordinator{
+		Query: query, Index: index, Picker: l.picker, Policy: hedger.For(index.Prefer, config.Rules), Estimator: estimator,
+		Hedges: l.hedges, Retries: l.retries, NextID: l.nextID,
+		Canary: config.Rules.Canary && !l.quarantiner.Succeeded(query.Fingerprint),
+		Alone: func() bool {
+			return l.quarantiner.State(query.Fingerprint, l.host.Clock.Now()) != quarantiner.Clear
+		},
 	}
+	return nil
 }
 
-func (l *queryLoop) abandon(id uint64) {
-	running := l.running[id]
-	if running == nil {
-		return
-	}
-	delete(l.running, id)
-	cancels := make(map[string][]wigeonspindle.Cancel)
-	for attempt, sent := range running.sent {
-		cancels[sent.owner] = append(cancels[sent.owner], wigeonspindle.Cancel{ID: attempt, Target: sent.attempt.Target})
+func notRun(code wigeonspindle.Code, field, message string) *wigeonspindle.Refusal {
+	return &wigeonspindle.Refusal{Code: code, Verdict: wigeonspindle.NotRun, Field: field, Message: message}
+}
+
+// configure adopts a new configuration and returns the one in force, or nil.
+func (l *queryLoop) configure() *wigeonspindle.Config {
+	config := l.host.holder.Config()
+	if config == nil || config == l.picker.Config() {
+		return config
 	}
-	for owner, batch := range cancels {
-		l.host.send(owner, wigeonspindle.Envelope{Cancels: batch})
+	l.picker.Configure(config, nil)
+	l.hedges.Share = config.Rules.Extra
+	estimators := make(map[string]*hedger.Estimator, len(config.Indexes))
+	for _, index := range config.Indexes {
+		estimators[index.Name] = l.estimators[index.Name]
+		if estimators[index.Name] == nil {
+			estimators[index.Name] = &hedger.Estimator{}
+		}
 	}
+	l.estimators = estimators
+	return config
 }
 
-func unreachable(attempts []wigeonspindle.Attempt) []wigeonspindle.Outcome {
-	outcomes := make([]wigeonspindle.Outcome, 0, len(attempts))
-	for _, attempt := range attempts {
-		outcomes = append(outcomes, failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeUnreachable, "the owner is not reachable"))
+// rules returns the operators' rules, with the design's durations where none are known.
+func (l *queryLoop) rules() wigeonspindle.Rules {
+	var rules wigeonspindle.Rules
+	if config := l.host.holder.Config(); config != nil {
+		rules = config.Rules
 	}
-	return outcomes
+	rules.Lifetime = cmp.Or(rules.Lifetime, wigeonspindle.Duration(defaultPeriod))
+	rules.Expiry = cmp.Or(rules.Expiry, wigeonspindle.Duration(defaultPeriod))
+	return rules
 }
 
-func failed(attempt wigeonspindle.Attempt, verdict wigeonspindle.Verdict, code wigeonspindle.Code, message string) wigeonspindle.Outcome {
-	return wigeonspindle.Outcome{
-		ID: attempt.ID, Query: attempt.Query, Target: attempt.Target, Shard: attempt.Shard, Snapshot: attempt.Snapshot,
-		Generation: attempt.Generation, Verdict: verdict, Code: code, Message: message,
-	}
+// nextID returns an attempt identity whose counter leads outcomes back to this loop.
+func (l *queryLoop) nextID() wigeonspindle.AttemptID {
+	l.counter += uint64(len(l.host.queries))
+	return wigeonspindle.AttemptID{Entry: l.host.self.Incarnation, Counter: l.counter + l.index}
 }
