--- /dev/null
+++ b/internal/transport/linker/linker_bench_test.go
@@ -0,0 +1,108 @@
+package linker_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/linker"
+)
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// echoHandler answers each attempt with an outcome and counts outcomes.
+type echoHandler struct {
+	outcomes chan int
+	up       chan struct{}
+}
+
+func (h *echoHandler) Received(message wigeonspindle.Envelope, reply wigeonspindle.Reply) {
+	if len(message.Attempts) > 0 {
+		outcomes := make([]wigeonspindle.Outcome, 0, len(message.Attempts))
+		for _, attempt := range message.Attempts {
+			outcomes = append(outcomes, wigeonspindle.Outcome{
+				ID: attempt.ID, Query: attempt.Query, Target: attempt.Target, Shard: attempt.Shard,
+				Snapshot: attempt.Snapshot, Verdict: wigeonspindle.Ran, Body: attempt.Body,
+			})
+		}
+		reply(wigeonspindle.Envelope{Outcomes: outcomes})
+	}
+	if len(message.Outcomes) > 0 {
+		h.outcomes <- len(message.Outcomes)
+	}
+}
+
+func (h *echoHandler) Unsent(string, wigeonspindle.Envelope) {}
+
+func (h *echoHandler) Up(string) { h.up <- struct{}{} }
+
+func (h *echoHandler) Down(string) {}
+
+// BenchmarkAttempts measures an attempt and its outcome over one link by batch size: the
+// slope behind the fan-out figures of docs/CAPACITY.md.
+func BenchmarkAttempts(b *testing.B) {
+	for _, batch := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) { benchmarkAttempts(b, batch) })
+	}
+}
+
+func benchmarkAttempts(b *testing.B, batch int) {
+	handler := &echoHandler{outcomes: make(chan int, 4096), up: make(chan struct{}, 16)}
+	var hosts []wigeonspindle.Host
+	var linkers []*linker.Linker
+	for _, name := range []string{"entry", "owner"} {
+		host := wigeonspindle.Host{Name: name, Link: free(b)}
+		l := &linker.Linker{
+			Self: host, Clock: systemClock{}, Handler: handler, Logger: log.New(io.Discard),
+			Recorder:  &recorder.Recorder{Clock: systemClock{}, Host: name, Size: 16},
+			Heartbeat: func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: host} },
+		}
+		if err := l.Run(); err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		hosts, linkers = append(hosts, host), append(linkers, l)
+	}
+	linkers[0].Connect(hosts)
+	<-handler.up
+	attempts := make([]wigeonspindle.Attempt, batch)
+	for i := range attempts {
+		attempts[i] = wigeonspindle.Attempt{
+			ID:    wigeonspindle.AttemptID{Entry: "0123456789abcdef", Counter: uint64(i)},
+			Trace: "0123456789abcdef", Target: "lookup-17-b", Index: "lookup", Shard: "lookup-17", Snapshot: "2026-12-04",
+			Class: wigeonspindle.Idempotent, Body: make([]byte, 100), Deadline: time.Now().Add(time.Hour),
+		}
+	}
+	const window = 16 // Batches in flight, below the size of the link's ring.
+	b.ResetTimer()
+	sent, received, inflight := 0, 0, 0
+	for received < b.N {
+		for sent < b.N && inflight < window {
+			if !linkers[0].Send("owner", wigeonspindle.Envelope{Attempts: attempts}) {
+				b.Fatal("the link refused a batch")
+			}
+			sent += batch
+			inflight++
+		}
+		received += <-handler.outcomes
+		inflight--
+	}
+}
+
+func free(b *testing.B) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
