linker: hold pointers in the rings of a link

An idle link took 1.84 MB on both hosts together, because each ring reserves room for 4,096 messages of 216 bytes. With 314 links of a host at the size aimed for that is 580 MB. A smaller ring was ruled out: it would refuse attempts of one turn of a wide query.

--- a/internal/transport/linker/acceptor.go
+++ b/internal/transport/linker/acceptor.go
@@ -16,7 +16,7 @@
 // Exchange reads the messages of one host and writes the answers to them. Each heartbeat
 // is answered with one, so that the peer sees that the stream works in both directions.
 func (a *acceptor) Exchange(stream messenger.DRPCLink_ExchangeStream) error {
-	out := queuer.New[wigeonspindle.Envelope](outSize)
+	out := queuer.New[*wigeonspindle.Envelope](outSize)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	stop := context.AfterFunc(a.linker.ctx, cancel)
@@ -33,8 +33,9 @@
 	return err
 }
 
-func (a *acceptor) read(stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[wigeonspindle.Envelope]) error {
+func (a *acceptor) read(stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) error {
 	from := ""
+	reply := func(message wigeonspindle.Envelope) bool { return out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -43,21 +44,21 @@
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			from = heartbeat.GetHost().GetName()
 			answer := a.linker.Heartbeat()
-			out.Offer(wigeonspindle.Envelope{Heartbeat: &answer})
+			out.Offer(&wigeonspindle.Envelope{Heartbeat: &answer})
 		}
-		if err := a.linker.deliver(frame, from, out.Offer); err != nil {
+		if err := a.linker.deliver(frame, from, reply); err != nil {
 			a.linker.Logger.Warn("message dropped", "peer", from, "error", err)
 		}
 	}
 }
 
-func (a *acceptor) write(ctx context.Context, stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[wigeonspindle.Envelope]) {
+func (a *acceptor) write(ctx context.Context, stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case message := <-out.C():
-			frame, err := a.linker.encode(message)
+			frame, err := a.linker.encode(*message)
 			if err != nil {
 				a.linker.Logger.Warn("answer dropped", "error", err)
 				continue
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -19,7 +19,8 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
-// outSize bounds the messages that wait for one link.
+// outSize bounds the messages that wait for one link. The ring holds pointers: with the
+// messages themselves an idle link took 1.8 MB on both hosts together.
 const outSize = 4096
 
 // Linker implements wigeonspindle.Link.
@@ -105,12 +106,12 @@
 	l.mutex.Lock()
 	p := l.peers[host]
 	l.mutex.Unlock()
-	return p != nil && p.up.Load() && p.out.Offer(message)
+	return p != nil && p.up.Load() && p.out.Offer(&message)
 }
 
 func (l *Linker) start(host wigeonspindle.Host) *peer {
 	ctx, cancel := context.WithCancel(l.ctx)
-	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[wigeonspindle.Envelope](outSize)}
+	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[*wigeonspindle.Envelope](outSize)}
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
--- /dev/null
+++ b/internal/transport/linker/memory_test.go
@@ -0,0 +1,59 @@
+package linker_test
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/linker"
+)
+
+// BenchmarkIdleLinks measures the memory of one host that keeps idle links to many others:
+// the slope behind the memory of links in docs/CAPACITY.md. The other ends are in the same
+// process, so that the metric counts both ends of a link.
+func BenchmarkIdleLinks(b *testing.B) {
+	for _, links := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(idleLinks(b, links), "bytes/link")
+			}
+		})
+	}
+}
+
+func idleLinks(b *testing.B, links int) float64 {
+	handler := &echoHandler{up: make(chan struct{}, links), outcomes: make(chan int)}
+	hosts := make([]wigeonspindle.Host, links+1)
+	linkers := make([]*linker.Linker, links+1)
+	for i := range hosts {
+		hosts[i] = wigeonspindle.Host{Name: fmt.Sprintf("host-%03d", i), Link: free(b)}
+		linkers[i] = &linker.Linker{
+			Self: hosts[i], Clock: systemClock{}, Handler: handler, Logger: log.New(io.Discard),
+			Recorder:  &recorder.Recorder{Clock: systemClock{}, Host: hosts[i].Name, Size: 16},
+			Heartbeat: func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: hosts[i]} },
+		}
+		if err := linkers[i].Run(); err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = linkers[i].Close() }()
+	}
+	before := memory()
+	linkers[0].Connect(hosts)
+	for range links {
+		<-handler.up
+	}
+	return float64(memory()-before) / float64(links)
+}
+
+// memory returns the heap and stacks in use after a collection.
+func memory() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -22,7 +22,7 @@
 	linker *Linker
 	host   wigeonspindle.Host
 	cancel context.CancelFunc
-	out    *queuer.Ring[wigeonspindle.Envelope]
+	out    *queuer.Ring[*wigeonspindle.Envelope]
 	up     atomic.Bool
 	heard  atomic.Int64 // heard is when the last frame arrived, in Unix nanoseconds.
 }
@@ -73,7 +73,7 @@
 
 // read is the duty that receives answers from the host.
 func (p *peer) read(stream messenger.DRPCLink_ExchangeClient) {
-	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(message) }
+	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -102,7 +102,7 @@
 		case <-ctx.Done():
 			return errors.Newf("stream to host %s ended", p.host.Name)
 		case message := <-p.out.C():
-			if err := p.send(stream, message); err != nil {
+			if err := p.send(stream, *message); err != nil {
 				// The message may have left in part, so that only Down is reported for it.
 				return err
 			}
@@ -134,9 +134,9 @@
 // fail marks the link as down and returns the messages that were not written.
 func (p *peer) fail() {
 	wasUp := p.up.Swap(false)
-	buffer := p.out.Drain(make([]wigeonspindle.Envelope, 0, p.out.Cap()))
+	buffer := p.out.Drain(make([]*wigeonspindle.Envelope, 0, p.out.Cap()))
 	for _, message := range buffer {
-		p.linker.Handler.Unsent(p.host.Name, message)
+		p.linker.Handler.Unsent(p.host.Name, *message)
 	}
 	if wasUp {
 		p.linker.Handler.Down(p.host.Name)
