--- a/internal/transport/simulator/hosts.go
+++ b/internal/transport/simulator/hosts.go
@@ -3,27 +3,79 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"wigeonspindle.example/wigeonspindle"
 )
 
 // Hosts is a stand-in for the platform's list of hosts.
 type Hosts struct {
-	mutex    sync.Mutex
+	mutex   sync.Mutex
+	lists   []datedList // lists are ordered from the oldest to the newest.
+	lag     time.Duration
+	down    bool
+	omitted []string
+	calls   int
+}
+
+type datedList struct {
+	at       time.Time
 	listings []wigeonspindle.Listing
 }
 
+// HostsChange switches the list and its faults. Absent fields stay as they are.
+type HostsChange struct {
+	Listings []wigeonspindle.Listing `json:"listings,omitempty"`
+	Lag      *wigeonspindle.Duration `json:"lag,omitempty"`  // Lag delays changes of the list.
+	Down     *bool                   `json:"down,omitempty"` // Down refuses every call.
+	// Omitted names hosts that the list wrongly leaves out.
+	Omitted *[]string `json:"omitted,omitempty"`
+}
+
 // Set replaces the list.
-func (h *Hosts) Set(listings []wigeonspindle.Listing) {
+func (h *Hosts) Set(listings []wigeonspindle.Listing) { h.Apply(HostsChange{Listings: listings}) }
+
+// Apply switches the list and its faults.
+func (h *Hosts) Apply(change HostsChange) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if change.Listings != nil {
+		h.lists = append(h.lists, datedList{at: time.Now(), listings: slices.Clone(change.Listings)})
+	}
+	if change.Lag != nil {
+		h.lag = time.Duration(*change.Lag)
+	}
+	set(&h.down, change.Down)
+	set(&h.omitted, change.Omitted)
+}
+
+// Calls returns the number of calls so far.
+func (h *Hosts) Calls() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.listings = listings
+	return h.calls
 }
 
 // ServeHTTP serves GET /hosts.
 func (h *Hosts) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	_ = json.NewEncoder(w).Encode(h.listings)
+	h.calls++
+	if h.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	// A list older than the newest visible one is no longer needed.
+	for len(h.lists) > 1 && time.Since(h.lists[1].at) >= h.lag {
+		h.lists = h.lists[1:]
+	}
+	visible := []wigeonspindle.Listing{}
+	if len(h.lists) > 0 {
+		visible = slices.DeleteFunc(slices.Clone(h.lists[0].listings), func(listing wigeonspindle.Listing) bool {
+			return slices.Contains(h.omitted, listing.Name)
+		})
+	}
+	_ = json.NewEncoder(w).Encode(visible)
 }
