Add the load tool and the demonstration

Open-loop arrivals, scenarios of faults on both deployments, and a client-side baseline with stand-ins of the same seed.

--- a/internal/transport/commander/commander.go
+++ b/internal/transport/commander/commander.go
@@ -27,6 +27,8 @@
 func (c *Commander) Run(args []string) int {
 	parser := flags.NewNamedParser("wigeonspindle", flags.HelpFlag|flags.PassDoubleDash)
 	c.add(parser, "run", "Run a host", &runCommand{commander: c})
+	c.add(parser, "demo", "Run a demonstration in this process", &demoCommand{commander: c})
+	c.add(parser, "load", "Measure the system and a baseline under load", &loadCommand{commander: c})
 	c.add(parser, "version", "Print the version", &versionCommand{commander: c})
 	_, err := parser.ParseArgs(args)
 	var parse *flags.Error
--- /dev/null
+++ b/internal/transport/loader/cluster.go
@@ -0,0 +1,208 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/lister"
+	"wigeonspindle.example/wigeonspindle/internal/transport/requester"
+	"wigeonspindle.example/wigeonspindle/internal/transport/sender"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
+)
+
+const (
+	// hostAddress is where hosts listen. Outgoing connections use 127.0.0.1, so that none of
+	// them takes a port between its choice and its use.
+	hostAddress = "127.0.0.3:0"
+	// readyTimeout bounds the wait until a new cluster serves every index.
+	readyTimeout = 30 * time.Second
+	readyPause   = 100 * time.Millisecond
+	// token is the operators' token of the hosts of an experiment.
+	token = "experiment-on-loopback-addresses"
+)
+
+// cluster is a query tier in this process: its hosts and the stand-ins around them.
+type cluster struct {
+	deployment Deployment
+	bundle     *simulator.Bundle
+	hosts      []*launcher.Host
+	senders    []*sender.Sender
+	callers    []*requester.Requester
+}
+
+// runCluster starts the stand-ins and the hosts and waits until every index is served whole.
+func runCluster(ctx context.Context, deployment Deployment, seed uint64) (*cluster, error) {
+	c := &cluster{deployment: deployment}
+	var addresses simulator.Addresses
+	var err error
+	c.bundle, addresses, err = runBundle(deployment, seed)
+	if err != nil {
+		return nil, err
+	}
+	if err = c.runHosts(addresses); err == nil {
+		err = c.configure(ctx, addresses)
+	}
+	if err == nil {
+		err = c.ready(ctx)
+	}
+	if err != nil {
+		return nil, errors.CombineErrors(err, c.close())
+	}
+	return c, nil
+}
+
+func runBundle(deployment Deployment, seed uint64) (*simulator.Bundle, simulator.Addresses, error) {
+	bundle := &simulator.Bundle{Settings: simulator.Settings{Seed: seed, Groups: deployment.Groups}}
+	addresses, err := bundle.Run()
+	return bundle, addresses, err
+}
+
+func (c *cluster) runHosts(addresses simulator.Addresses) error {
+	var listings []wigeonspindle.Listing
+	var settings []parser.Settings
+	for i := range c.deployment.Hosts {
+		free, err := freeAddresses(3)
+		if err != nil {
+			return err
+		}
+		settings = append(settings, parser.Settings{
+			Name: fmt.Sprintf("host-%02d", i), Domain: c.deployment.Domains[i%len(c.deployment.Domains)], Cell: "main",
+			Caller: free[0], Link: free[1], Admin: free[2], Token: token,
+			Store: addresses.Store, Hosts: addresses.Hosts, Workers: c.deployment.Workers, Level: "error",
+		})
+		listings = append(listings, wigeonspindle.Listing{Name: settings[i].Name, Link: settings[i].Link})
+	}
+	c.bundle.Hosts.Set(listings)
+	for _, s := range settings {
+		targets := &sender.Sender{Clock: systemClock{}}
+		host := &launcher.Host{
+			Settings: s, Clock: systemClock{}, Logger: log.New(io.Discard), Sender: targets,
+			Store: &storer.Storer{Address: s.Store}, Lister: &lister.Lister{Address: s.Hosts},
+		}
+		if err := host.Run(); err != nil {
+			return err
+		}
+		c.hosts, c.senders = append(c.hosts, host), append(c.senders, targets)
+	}
+	for _, domain := range c.deployment.Domains {
+		c.callers = append(c.callers, &requester.Requester{
+			Seeds: c.seeds(), Domain: domain, Caller: "caller-" + domain, Clock: systemClock{},
+		})
+	}
+	return nil
+}
+
+func (c *cluster) seeds() []string {
+	var seeds []string
+	for _, host := range c.hosts {
+		seeds = append(seeds, host.Settings.Caller)
+	}
+	return seeds
+}
+
+// configure writes the first configuration.
+func (c *cluster) configure(ctx context.Context, addresses simulator.Addresses) error {
+	config := wigeonspindle.Config{Revision: 1, Rules: rules(), Indexes: addresses.Indexes}
+	for _, domain := range c.deployment.Domains {
+		config.Domains = append(config.Domains, wigeonspindle.Domain{Name: domain})
+	}
+	data, err := json.Marshal(config)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	store := &storer.Storer{Address: addresses.Store}
+	_, err = store.Swap(ctx, wigeonspindle.Record{Key: launcher.ConfigKey, Value: data})
+	return err
+}
+
+// ready waits until a caller of each failure domain gets a whole answer from every index.
+func (c *cluster) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, caller := range c.callers {
+		for _, group := range c.deployment.Groups {
+			for {
+				answer := caller.Query(ctx, encoder.QueryRequest{
+					Index: group.Index, Body: "ready", Budget: wigeonspindle.Duration(c.deployment.Budget),
+				})
+				if answer.Refusal == nil && answer.Coverage.Whole() {
+					break
+				}
+				select {
+				case <-ctx.Done():
+					return errors.Newf("index %s is not served whole: coverage %d of %d, refusal %v",
+						group.Index, answer.Coverage.Answered, answer.Coverage.Total, answer.Refusal)
+				case <-time.After(readyPause):
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// setDomain takes a failure domain out of service or brings it back as an operator does.
+func (c *cluster) setDomain(ctx context.Context, domain string, out bool) error {
+	admin, ok := any(c.hosts[0]).(wigeonspindle.Administration)
+	if !ok {
+		return errors.New("the host offers no administration")
+	}
+	_, err := admin.SetDomain(ctx, domain, out, "experiment")
+	return err
+}
+
+// close stops the hosts at once and then the stand-ins.
+func (c *cluster) close() error {
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, caller := range c.callers {
+		_ = caller.Close()
+	}
+	closed := make(chan struct{}, len(c.hosts))
+	for _, host := range c.hosts {
+		go func() {
+			// An immediate stop reports that it did not wait, which is intended here.
+			_ = host.Close(stopped)
+			closed <- struct{}{}
+		}()
+	}
+	for range c.hosts {
+		<-closed
+	}
+	for _, targets := range c.senders {
+		_ = targets.Close()
+	}
+	return c.bundle.Close()
+}
+
+// freeAddresses returns loopback addresses that no listener uses.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", hostAddress)
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		// All are closed on return only, so that they differ.
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// systemClock implements wigeonspindle.Clock.
+type systemClock struct{}
+
+// Now returns the current time with a monotonic reading.
+func (systemClock) Now() time.Time { return time.Now() }
--- /dev/null
+++ b/internal/transport/loader/deployment.go
@@ -0,0 +1,125 @@
+package loader
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+)
+
+// Deployment is the size and the traffic of one installation.
+type Deployment struct {
+	Name    string
+	Domains []string
+	Hosts   int
+	Workers int
+	Groups  []simulator.Group
+	Traffic []Traffic
+	Budget  time.Duration // Budget is the time from a request to its deadline.
+}
+
+// Traffic is a stream of requests to one index.
+type Traffic struct {
+	Index string
+	Class wigeonspindle.Class
+	Rate  float64 // Rate is in requests per second.
+}
+
+// Traffic and service times that the design page leaves open. Each target of the many-shard
+// index gets about a tenth of what it bears, so that latency shows stragglers and not queues.
+const (
+	manyService  = 10 * time.Millisecond
+	smallService = 5 * time.Millisecond
+	manyRate     = 40
+	smallRate    = 10
+	jitter       = 0.3
+	floor        = 20
+	shards       = 50
+	replicas     = 2
+	slots        = 2
+)
+
+// Deployments returns the installations of table 1.4 of the design page by name.
+func Deployments() map[string]Deployment {
+	return map[string]Deployment{"cooperative": cooperative(), "hinterberger": hinterberger()}
+}
+
+func cooperative() Deployment {
+	domains := domainNames(4)
+	many := simulator.Group{
+		Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Shards: shards, Replicas: replicas, Connections: 50,
+		Open: wigeonspindle.Duration(6 * time.Millisecond), Service: wigeonspindle.Duration(manyService),
+	}
+	commissions := simulator.Group{
+		Index: "commissions", Prefer: wigeonspindle.CoverageFirst, Shards: 1, Replicas: 7, Connections: 190,
+		Open: wigeonspindle.Duration(time.Millisecond), Service: wigeonspindle.Duration(smallService),
+	}
+	ledger := commissions
+	ledger.Index, ledger.Replicas = "ledger", 4
+	return Deployment{
+		Name: "cooperative", Domains: domains, Hosts: 12, Workers: 2, Budget: time.Second,
+		Groups: complete(domains, many, commissions, ledger),
+		Traffic: []Traffic{
+			{Index: "lookup", Class: wigeonspindle.Idempotent, Rate: manyRate},
+			{Index: "commissions", Class: wigeonspindle.Once, Rate: smallRate},
+			{Index: "ledger", Class: wigeonspindle.Idempotent, Rate: smallRate},
+		},
+	}
+}
+
+func hinterberger() Deployment {
+	domains := domainNames(3)
+	many := simulator.Group{
+		Index: "portal", Prefer: wigeonspindle.TailFirst, Shards: shards, Replicas: replicas, Connections: 55,
+		Open: wigeonspindle.Duration(6 * time.Millisecond), Service: wigeonspindle.Duration(manyService),
+	}
+	warehouse := simulator.Group{
+		Index: "warehouse", Prefer: wigeonspindle.TailFirst, Shards: 1, Replicas: 20, Connections: 75,
+		Open: wigeonspindle.Duration(time.Millisecond), Service: wigeonspindle.Duration(smallService),
+	}
+	accounts := warehouse
+	accounts.Index, accounts.Replicas = "accounts", 10
+	return Deployment{
+		Name: "hinterberger", Domains: domains, Hosts: 12, Workers: 2, Budget: 500 * time.Millisecond,
+		Groups: complete(domains, many, warehouse, accounts),
+		Traffic: []Traffic{
+			{Index: "portal", Class: wigeonspindle.Idempotent, Rate: manyRate},
+			{Index: "warehouse", Class: wigeonspindle.Once, Rate: smallRate},
+			{Index: "accounts", Class: wigeonspindle.Idempotent, Rate: smallRate},
+		},
+	}
+}
+
+// demonstration is one many-shard index over four domains behind a few hosts.
+func demonstration() Deployment {
+	deployment := cooperative()
+	deployment.Name, deployment.Hosts = "demonstration", 4
+	deployment.Groups, deployment.Traffic = deployment.Groups[:1], deployment.Traffic[:1]
+	return deployment
+}
+
+// complete fills in what all groups share.
+func complete(domains []string, groups ...simulator.Group) []simulator.Group {
+	for i := range groups {
+		groups[i].Domains, groups[i].Slots = domains, slots
+		groups[i].Floor, groups[i].Jitter = floor, jitter
+	}
+	return groups
+}
+
+func domainNames(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("d%d", i+1))
+	}
+	return names
+}
+
+// rules are the operators' settings that the experiments run with.
+func rules() wigeonspindle.Rules {
+	return wigeonspindle.Rules{
+		Extra: 0.05, Canary: true, Soft: 0.8, Lifetime: wigeonspindle.Duration(10 * time.Minute),
+		Expiry: wigeonspindle.Duration(10 * time.Minute), Lease: wigeonspindle.Duration(3 * time.Second),
+	}
+}
--- /dev/null
+++ b/internal/transport/loader/loader_test.go
@@ -0,0 +1,106 @@
+package loader_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/transport/loader"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+)
+
+// small is a deployment that starts quickly.
+func small() loader.Deployment {
+	return loader.Deployment{
+		Name: "small", Domains: []string{"d1", "d2"}, Hosts: 2, Workers: 1, Budget: time.Second,
+		Groups: []simulator.Group{{
+			Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: []string{"d1", "d2"}, Shards: 4, Replicas: 2,
+			Slots: 2, Connections: 50, Service: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20,
+		}},
+		Traffic: []loader.Traffic{{Index: "lookup", Class: wigeonspindle.Idempotent, Rate: 20}},
+	}
+}
+
+// TestRun guards against a run that loses requests, reports coverage that the stand-ins did
+// not count, or leaves goroutines behind.
+func TestRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l := &loader.Loader{Deployment: small(), Seed: 3, Warmup: 500 * time.Millisecond, Duration: time.Second, Baseline: true}
+	result, err := l.Run(context.Background(), loader.Scenarios()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, got := range map[string]loader.Measure{"system": result.System, "baseline": *result.Baseline} {
+		answered := got.Whole + got.Partial
+		for _, refused := range got.Refused {
+			answered += refused
+		}
+		if int64(answered) != got.Latency["lookup"].Count || got.Latency["lookup"].Count == 0 {
+			t.Errorf("%s: got %d answers and refusals for %d requests", name, answered, got.Latency["lookup"].Count)
+		}
+		if got.Wrong != 0 || got.Untrue != 0 || got.Twice != 0 || got.Reported != got.Counted {
+			t.Errorf("%s: got %+v, want coverage as counted", name, got)
+		}
+	}
+	if got, want := result.System.Latency["lookup"].Count, result.Baseline.Latency["lookup"].Count; got != want {
+		t.Errorf("got %d requests to the system and %d to the baseline, want the same arrivals", got, want)
+	}
+	var table bytes.Buffer
+	if err := loader.WriteTable(&table, []loader.Result{result}, "lookup"); err != nil || strings.Count(table.String(), "\n") != 4 {
+		t.Errorf("got table %q, %v, want a header, the system, the baseline and their ratio", table.String(), err)
+	}
+}
+
+// TestBounds guards against runs without a bound in time or count.
+func TestBounds(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		duration time.Duration
+		rate     float64
+	}{
+		{name: "no time", rate: 1},
+		{name: "too long", duration: time.Hour, rate: 1},
+		{name: "too many", duration: time.Minute, rate: 1e6},
+	} {
+		deployment := small()
+		deployment.Traffic[0].Rate = test.rate
+		l := &loader.Loader{Deployment: deployment, Duration: test.duration}
+		if _, err := l.Run(context.Background(), loader.Scenarios()[0]); err == nil {
+			t.Errorf("%s: got no error, want the run refused", test.name)
+		}
+	}
+}
+
+// TestHonest guards against a check that passes coverage which the stand-ins did not count.
+func TestHonest(t *testing.T) {
+	result := func(shard, body string) wigeonspindle.Result {
+		return wigeonspindle.Result{Shard: shard, Body: []byte(body)}
+	}
+	counted := map[string]string{"a": "v1", "b": "v1"}
+	for _, test := range []struct {
+		name     string
+		coverage wigeonspindle.Coverage
+		results  []wigeonspindle.Result
+		counted  map[string]string
+		want     bool
+	}{
+		{"whole", wigeonspindle.Coverage{Answered: 2, Total: 2}, []wigeonspindle.Result{result("a", "a:q"), result("b", "b:q")}, counted, true},
+		{"partial", wigeonspindle.Coverage{Answered: 1, Total: 2, Missing: []string{"b"}}, []wigeonspindle.Result{result("a", "a:q")}, counted, true},
+		{"missing unnamed", wigeonspindle.Coverage{Answered: 1, Total: 2}, []wigeonspindle.Result{result("a", "a:q")}, counted, false},
+		{"twice", wigeonspindle.Coverage{Answered: 2, Total: 2}, []wigeonspindle.Result{result("a", "a:q"), result("a", "a:q")}, counted, false},
+		{"other body", wigeonspindle.Coverage{Answered: 1, Total: 1}, []wigeonspindle.Result{result("a", "a:r")}, counted, false},
+		{"not run", wigeonspindle.Coverage{Answered: 1, Total: 1}, []wigeonspindle.Result{result("c", "c:q")}, counted, false},
+		{"other snapshot", wigeonspindle.Coverage{Answered: 1, Total: 1}, []wigeonspindle.Result{result("a", "a:q")}, map[string]string{"a": "v2"}, false},
+		{"overstated", wigeonspindle.Coverage{Answered: 2, Total: 2}, []wigeonspindle.Result{result("a", "a:q")}, counted, false},
+	} {
+		answer := wigeonspindle.Answer{Snapshot: "v1", Coverage: test.coverage, Results: test.results}
+		if got := loader.Honest(answer, "q", test.counted); got != test.want {
+			t.Errorf("%s: got %t, want %t", test.name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/loader/report.go
@@ -0,0 +1,76 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Result is one scenario on the system and, when it was played there too, on the baseline.
+type Result struct {
+	Deployment string           `json:"deployment"`
+	Scenario   string           `json:"scenario"`
+	Seed       uint64           `json:"seed"`
+	System     Measure          `json:"system"`
+	Baseline   *Measure         `json:"baseline,omitempty"`
+	Ratios     map[string]Ratio `json:"ratios,omitempty"` // Ratios are given per index.
+}
+
+// Ratio compares the latencies of the system with those of the baseline.
+type Ratio struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+func compare(system, baseline Measure) map[string]Ratio {
+	ratios := make(map[string]Ratio)
+	for index, base := range baseline.Latency {
+		own, ok := system.Latency[index]
+		if ok && base.P50 > 0 {
+			ratios[index] = Ratio{P50: own.P50 / base.P50, P99: own.P99 / base.P99, P999: own.P999 / base.P999}
+		}
+	}
+	return ratios
+}
+
+// WriteTable writes the results as a table for people. Latencies are those of one index.
+func WriteTable(out io.Writer, results []Result, index string) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "scenario\ton\tp50 ms\tp99 ms\tp99.9 ms\twhole\tpartial\trefused\textra load\tover slots\tover cold\twrong\tuntrue\ttwice\n")
+	for _, result := range results {
+		writeRow(table, result.Scenario, "system", result.System, index)
+		if result.Baseline == nil {
+			continue
+		}
+		writeRow(table, "", "baseline", *result.Baseline, index)
+		ratio := result.Ratios[index]
+		_, _ = fmt.Fprintf(table, "\tratio\t%.2f\t%.2f\t%.2f\t\t\t\t\t\t\t\t\t\n", ratio.P50, ratio.P99, ratio.P999)
+	}
+	return errors.Wrap(table.Flush(), "write table")
+}
+
+func writeRow(out io.Writer, scenario, on string, m Measure, index string) {
+	latency := m.Latency[index]
+	_, _ = fmt.Fprintf(out, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%d\t%s\t%.1f%%\t%d\t%d\t%d\t%d\t%d\n", scenario, on,
+		latency.P50, latency.P99, latency.P999, m.Whole, m.Partial, formatRefused(m.Refused),
+		100*m.Extra, m.Excess, m.ColdExcess, m.Wrong, m.Untrue, m.Twice)
+}
+
+func formatRefused(refused map[wigeonspindle.Code]int) string {
+	if len(refused) == 0 {
+		return "0"
+	}
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(refused)) {
+		parts = append(parts, fmt.Sprintf("%d %s", refused[code], code))
+	}
+	return strings.Join(parts, ", ")
+}
