parser, server: check settings and callers' requests strictly

Settings and operators' documents are decoded by exact key; every unknown key, repeated key, wrong type and value out of range is reported at once with its field and the accepted range. A repeated shard is refused because it would be counted twice in the coverage; a body that is not UTF-8 is refused because the JSON decoder would alter it; an identity has exactly one text form. Connections, headers and times of the callers' listener are bounded.

--- /dev/null
+++ b/internal/protocol/encoder/document.go
@@ -0,0 +1,108 @@
+package encoder
+
+import (
+	"fmt"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Inventory is the operators' document of the indexes and their targets.
+type Inventory struct {
+	Revision wigeonspindle.Revision `json:"revision,omitempty"`
+	Indexes  []wigeonspindle.Index  `json:"indexes" validate:"required,max=1024,dive"`
+}
+
+// RuleBook is the operators' document of the rules.
+type RuleBook struct {
+	Revision wigeonspindle.Revision `json:"revision,omitempty"`
+	Rules    wigeonspindle.Rules    `json:"rules"`
+}
+
+// DomainList answers GET /domains.
+type DomainList struct {
+	Revision  wigeonspindle.Revision   `json:"revision"`
+	Domains   []wigeonspindle.Domain   `json:"domains"`
+	Overrides []wigeonspindle.Override `json:"overrides"`
+}
+
+// Proposal is the body of PUT /inventory and PUT /rules; exactly one of Indexes and Rules
+// is set.
+type Proposal struct {
+	// Expected is the revision on which the change is based.
+	Expected *wigeonspindle.Revision `json:"expected" validate:"required"`
+	// Identity makes a repeated change recognizable; the host chooses one when it is empty.
+	Identity string                `json:"identity,omitempty" validate:"max=64"`
+	Author   string                `json:"author" validate:"required,max=128"`
+	Reason   string                `json:"reason,omitempty" validate:"max=512"`
+	Indexes  []wigeonspindle.Index `json:"indexes,omitempty" validate:"max=1024,dive"`
+	Rules    *wigeonspindle.Rules  `json:"rules,omitempty"`
+}
+
+// DomainProposal is the body of PUT /domains/NAME. Expected is optional so that a domain
+// can be taken out while the store, and with it the current revision, is out of reach.
+type DomainProposal struct {
+	Expected *wigeonspindle.Revision `json:"expected,omitempty"`
+	Author   string                  `json:"author" validate:"required,max=128"`
+	Out      *bool                   `json:"out" validate:"required"`
+}
+
+// DomainResult answers PUT /domains/NAME.
+type DomainResult struct {
+	Domain string `json:"domain"`
+	Out    bool   `json:"out"`
+	// Soft reports that the change is an override that awaits the store.
+	Soft bool `json:"soft"`
+	// Dry reports that nothing was changed.
+	Dry bool `json:"dry,omitempty"`
+}
+
+// EventList answers GET /events.
+type EventList struct {
+	Host   string                `json:"host"`
+	Events []wigeonspindle.Event `json:"events"`
+}
+
+// EntryList answers GET /history.
+type EntryList struct {
+	Entries []wigeonspindle.Entry `json:"entries"`
+}
+
+// ErrorAnswer is the body of every refusal of the operators' API.
+type ErrorAnswer struct {
+	Refusal *wigeonspindle.Refusal `json:"refusal"`
+}
+
+// Parts of the configuration that a Proposal may change.
+const (
+	PartInventory = "indexes"
+	PartRules     = "rules"
+)
+
+// DecodeProposal reads the body of a change of one part of the configuration.
+func DecodeProposal(data []byte, part string) (Proposal, *wigeonspindle.Refusal) {
+	var proposal Proposal
+	problems := DecodeAndCheck(data, &proposal)
+	given := map[string]bool{PartInventory: proposal.Indexes != nil, PartRules: proposal.Rules != nil}
+	for _, name := range []string{PartInventory, PartRules} {
+		switch {
+		case problems.Has(name):
+		case name == part && !given[name]:
+			problems = append(problems, Problem{Field: name, Message: "is required"})
+		case name != part && given[name]:
+			problems = append(problems, Problem{Field: name, Message: fmt.Sprintf("is not accepted here, only %s", part)})
+		}
+	}
+	return proposal, problems.Refusal()
+}
+
+// DecodeAndCheck reads one JSON value strictly, validates it by its tags and returns all
+// faults of both. A field that could not be decoded is reported once.
+func DecodeAndCheck(data []byte, value any) Problems {
+	problems := DecodeStrict(data, value)
+	for _, problem := range Check(value) {
+		if !problems.Has(problem.Field) {
+			problems = append(problems, problem)
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/protocol/encoder/document_test.go
@@ -0,0 +1,112 @@
+package encoder_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+)
+
+const goodIndex = `{"name":"a","prefer":"tail","snapshots":[{"version":"v","shards":["s"]}],"targets":[` +
+	`{"name":"t","address":"192.0.2.1:70","domain":"d","shards":["s"],"slots":2,"connections":50,"open":"6ms","floor":5}]}`
+
+// TestProposal guards against an operator's mistake that is accepted, or reported without
+// the field, the accepted range or the other mistakes in the body.
+func TestProposal(t *testing.T) {
+	swap := func(before, after string) string {
+		return `{"expected":1,"author":"me","indexes":[` + strings.Replace(goodIndex, before, after, 1) + `]}`
+	}
+	tests := []struct {
+		name, body string
+		want       []string // Want are parts of the message; none means accepted.
+	}{
+		{"accepted", swap("", ""), nil},
+		{"no revision", `{"author":"me","indexes":[]}`, []string{"expected is required"}},
+		{"no part", `{"expected":1,"author":"me"}`, []string{"indexes is required"}},
+		{"other part", `{"expected":1,"author":"me","indexes":[],"rules":{}}`, []string{"rules is not accepted here"}},
+		{"unknown key", swap(`"open"`, `"opened"`), []string{"indexes[0].targets[0].opened is not a known key"}},
+		{"wrong case", swap(`"slots"`, `"Slots"`), []string{"targets[0].Slots is not a known key", "targets[0].slots must be between 1 and 1024"}},
+		{"given twice", swap(`"slots":2`, `"slots":2,"slots":3`), []string{"targets[0].slots is given twice"}},
+		{"wrong unit", swap(`"6ms"`, `"6 parsecs"`), []string{`targets[0].open must be a text with a number and a unit such as "150ms"`}},
+		{"number for a duration", swap(`"6ms"`, `6`), []string{"targets[0].open must be a text"}},
+		{"range", swap(`"connections":50`, `"connections":0`), []string{"targets[0].connections must be between 1 and 65536"}},
+		{"floor", swap(`"floor":5`, `"floor":0`), []string{"targets[0].floor must be more than 0 and at most 100000"}},
+		{"host name", swap("192.0.2.1:70", "target.example:70"), []string{"targets[0].address must be an IP address and a port"}},
+		{"no port", swap("192.0.2.1:70", "192.0.2.1"), []string{"targets[0].address must be an IP address and a port"}},
+		{"choice", swap(`"tail"`, `"head"`), []string{"indexes[0].prefer must be one of: coverage, tail"}},
+		{"null", swap(`[{"version":"v","shards":["s"]}]`, "null"), []string{"indexes[0].snapshots must not be null"}},
+		{"type", swap(`"slots":2`, `"slots":"2"`), []string{"targets[0].slots must be a whole number"}},
+		{"all at once", swap(`"slots":2,"connections":50`, `"slots":0,"connections":0,"spare":1`), []string{
+			"slots must be", "connections must be", "spare is not",
+		}},
+		{"two values", swap("", "") + "{}", []string{"the document is not one JSON value"}},
+		{"not an object", `[]`, []string{"must be an object"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, refusal := encoder.DecodeProposal([]byte(test.body), encoder.PartInventory)
+			if (refusal == nil) != (test.want == nil) {
+				t.Fatalf("refusal: got %v, want %q", refusal, test.want)
+			}
+			for _, want := range test.want {
+				if !strings.Contains(refusal.Message, want) {
+					t.Errorf("message: got %q, want it to contain %q", refusal.Message, want)
+				}
+			}
+			if refusal != nil && (refusal.Code != wigeonspindle.CodeInvalid || refusal.Verdict != wigeonspindle.NotRun) {
+				t.Errorf("refusal: got %s %s, want invalid not-run", refusal.Code, refusal.Verdict)
+			}
+		})
+	}
+}
+
+// TestRules guards against durations of rules whose range is reported in nanoseconds.
+func TestRules(t *testing.T) {
+	body := `{"expected":1,"author":"me","rules":{"extra":0.6,"canary":true,"soft":0.5,"lifetime":"10m","expiry":"10m","lease":"1ms"}}`
+	_, refusal := encoder.DecodeProposal([]byte(body), encoder.PartRules)
+	want := "rules.extra must be between 0 and 0.5; rules.lease must be between 500ms and 1m0s"
+	if refusal == nil || refusal.Message != want || refusal.Field != "rules.extra" {
+		t.Errorf("refusal: got %v, want message %q", refusal, want)
+	}
+}
+
+// TestQueryLimits guards against callers' requests that would be run in another form than
+// the one that was sent, or whose shards would be counted twice.
+func TestQueryLimits(t *testing.T) {
+	tests := []struct{ name, body, field string }{
+		{"accepted", `{"index":"a","body":"b","budget":"1s"}`, ""},
+		{"no index", `{"budget":"1s"}`, "index"},
+		{"long caller", fmt.Sprintf(`{"index":"a","budget":"1s","caller":%q}`, strings.Repeat("c", 129)), "caller"},
+		{"empty shard", `{"index":"a","budget":"1s","shards":[""]}`, "shards"},
+		{"identity without once", `{"index":"a","budget":"1s","id":"ab.1.c"}`, "id"},
+		{"once without identity", `{"index":"a","budget":"1s","class":"once"}`, "id"},
+		{"identity not canonical", `{"index":"a","budget":"1s","class":"once","id":"ab.+1.c"}`, "id"},
+		{"identity with a line break", `{"index":"a","budget":"1s","class":"once","id":"ab.1.c\n"}`, "id"},
+		{"class", `{"index":"a","budget":"1s","class":"twice"}`, "class"},
+		{"long budget", `{"index":"a","budget":"2m"}`, "budget"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := ""
+			_, refusal := encoder.DecodeQuery(strings.NewReader(test.body), time.Unix(0, 0))
+			if refusal != nil {
+				got = refusal.Field
+			}
+			if got != test.field {
+				t.Errorf("field: got %q (%v), want %q", got, refusal, test.field)
+			}
+		})
+	}
+}
+
+// TestListings guards against one unusable entry that hides the other hosts.
+func TestListings(t *testing.T) {
+	got, err := encoder.DecodeListings(strings.NewReader(
+		`[{"name":"a","link":"192.0.2.1:70"},{"name":"b","link":"b.example:70"},{"name":"","link":"192.0.2.2:70"},{"name":"c","link":"192.0.2.3:70","leaving":true}]`))
+	if err != nil || len(got) != 2 || got[0].Name != "a" || got[1].Name != "c" {
+		t.Errorf("listings: got %v (%v), want a and c", got, err)
+	}
+}
--- a/internal/protocol/parser/settings.go
+++ b/internal/protocol/parser/settings.go
@@ -1,4 +1,5 @@
-// Package parser reads the settings file of a host.
+// Package parser reads the settings file of a host and the documents that operators keep
+// in files.
 package parser
 
 import (
@@ -12,19 +13,36 @@
 
 // Settings is the content of a host's settings file.
 type Settings struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Cell   string `json:"cell"`
-	Caller string `json:"caller"` // Caller is the listener for callers.
-	Link   string `json:"link"`   // Link is the listener for other hosts.
-	Admin  string `json:"admin"`  // Admin is the listener for operators.
-	Token  string `json:"token"`  // Token is the operators' bearer token.
-	Store  string `json:"store"`  // Store is the address of the key-value service.
-	Hosts  string `json:"hosts"`  // Hosts is the address of the host list.
+	Name   string `json:"name" validate:"required,max=64,label"`
+	Domain string `json:"domain" validate:"required,max=64,label"`
+	Cell   string `json:"cell" validate:"required,max=64,label"`
+	// Caller is the listener for callers.
+	Caller string `json:"caller" validate:"required,hostport"`
+	// Link is the listener for other hosts.
+	Link string `json:"link" validate:"required,hostport"`
+	// Admin is the listener for operators.
+	Admin string `json:"admin" validate:"required,hostport"`
+	// Token is the operators' bearer token.
+	Token string `json:"token" validate:"required,min=16,max=256,printascii"`
+	// Store is the address of the key-value service.
+	Store string `json:"store" validate:"required,hostport"`
+	// Hosts is the address of the host list.
+	Hosts string `json:"hosts" validate:"required,hostport"`
 	// Peers are link addresses of other hosts, used when the host list is unavailable.
-	Peers   []string `json:"peers,omitempty"`
-	Workers int      `json:"workers"` // Workers is the number of query loops and of target loops.
-	Level   string   `json:"level"`   // Level is the log level.
+	Peers []string `json:"peers,omitempty" validate:"max=64,dive,hostport"`
+	// Workers is the number of query loops and of target loops.
+	Workers int `json:"workers" validate:"min=1,max=64"`
+	// Level is the log level.
+	Level string `json:"level" validate:"oneof=debug info warn error"`
+	// Body is the largest request body of a caller, in bytes.
+	Body int64 `json:"body" validate:"min=1024,max=16777216"`
+	// Connections is the largest number of open connections of callers.
+	Connections int `json:"connections" validate:"min=1,max=65536"`
+}
+
+// defaults are the values of the settings that a file may leave out.
+func defaults() Settings {
+	return Settings{Cell: "main", Workers: 2, Level: "info", Body: 1 << 20, Connections: 4096}
 }
 
 // Load reads and checks a settings file.
@@ -33,13 +51,43 @@
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
 	}
-	settings := Settings{Cell: "main", Workers: 2, Level: "info"}
-	if err := encoder.DecodeBytes(data, &settings); err != nil {
-		return Settings{}, errors.Wrapf(err, "settings %s", path)
+	settings, problems := Parse(data)
+	if len(problems) > 0 {
+		return Settings{}, errors.Wrapf(problems, "settings %s", path)
 	}
 	return settings, nil
 }
 
+// Parse reads settings and reports every fault at once.
+func Parse(data []byte) (Settings, encoder.Problems) {
+	settings := defaults()
+	problems := encoder.DecodeAndCheck(data, &settings)
+	for _, problem := range distinct(settings) {
+		if !problems.Has(problem.Field) {
+			problems = append(problems, problem)
+		}
+	}
+	return settings, problems
+}
+
+// distinct reports listeners that share an address.
+func distinct(settings Settings) encoder.Problems {
+	var problems encoder.Problems
+	listeners := []struct{ field, address string }{
+		{"caller", settings.Caller}, {"link", settings.Link}, {"admin", settings.Admin},
+	}
+	for i, listener := range listeners {
+		for _, other := range listeners[:i] {
+			if listener.address != "" && listener.address == other.address {
+				problems = append(problems, encoder.Problem{
+					Field: listener.field, Message: "must differ from the address of " + other.field,
+				})
+			}
+		}
+	}
+	return problems
+}
+
 // Host returns the host that the settings describe.
 func (s Settings) Host(incarnation wigeonspindle.Incarnation) wigeonspindle.Host {
 	return wigeonspindle.Host{
--- /dev/null
+++ b/internal/protocol/parser/settings_test.go
@@ -0,0 +1,69 @@
+package parser_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+)
+
+const good = `{"name":"host-1","domain":"a","caller":"192.0.2.1:7000","link":"192.0.2.1:7001","admin":"192.0.2.1:7002",` +
+	`"token":"0123456789abcdef","store":"192.0.2.9:80","hosts":"192.0.2.9:81"}`
+
+// TestParse guards against settings that start a host with a mistake, and against mistakes
+// that are reported one at a time or without the accepted range.
+func TestParse(t *testing.T) {
+	tests := []struct{ name, before, after, want string }{
+		{"accepted", "", "", ""},
+		{"unknown key", `"name"`, `"title":"x","name"`, "title is not a known key"},
+		{"missing", `"store":"192.0.2.9:80",`, "", "store is required"},
+		{"host name", "192.0.2.9:81", "list.example:81", "hosts must be an IP address and a port such as 192.0.2.1:7000"},
+		{"port zero", "192.0.2.1:7000", "192.0.2.1:0", "caller must be an IP address and a port such as 192.0.2.1:7000"},
+		{"unspecified address", "192.0.2.1:7001", "0.0.0.0:7001", "link must be an IP address and a port such as 192.0.2.1:7000"},
+		{"same listener", "192.0.2.1:7002", "192.0.2.1:7000", "admin must differ from the address of caller"},
+		{"short token", "0123456789abcdef", "secret", "token must have between 16 and 256 characters"},
+		{"workers", `"name"`, `"workers":0,"name"`, "workers must be between 1 and 64"},
+		{"type", `"name"`, `"workers":"2","name"`, "workers must be a whole number"},
+		{"level", `"name"`, `"level":"loud","name"`, "level must be one of: debug, info, warn, error"},
+		{"peer", `"name"`, `"peers":["192.0.2.3:1","x"],"name"`, "peers[1] must be an IP address and a port such as 192.0.2.1:7000"},
+		{"label", "host-1", "host 1", "name must begin with a letter or digit and contain only letters, digits, dots, underscores and hyphens"},
+		{
+			"all at once", `"domain":"a"`, `"body":1,"connections":0,"domain":""`,
+			"domain is required; body must be between 1024 and 16777216; connections must be between 1 and 65536",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, problems := parser.Parse([]byte(strings.Replace(good, test.before, test.after, 1)))
+			if got := problems.Error(); got != test.want {
+				t.Errorf("problems: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLoad guards against an error that does not name the file.
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(`{"name":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := parser.Load(path)
+	if err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "name must be a text") {
+		t.Errorf("error: got %v, want the path and the field", err)
+	}
+}
+
+// FuzzParse guards against settings files that stop the program instead of being refused.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"peers":[null],"workers":1e99,"token":"\ud800"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, problems := parser.Parse(data)
+		if len(problems) == 0 && (settings.Name == "" || settings.Admin == "" || settings.Workers < 1) {
+			t.Errorf("settings: got %+v without a problem", settings)
+		}
+	})
+}
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -75,7 +75,10 @@
 	}
 	h.control = newControlLoop(h)
 	h.leases = newLeaseLoop(h)
-	h.server = &server.Server{Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger}
+	h.server = &server.Server{
+		Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger,
+		Body: h.Settings.Body, Connections: h.Settings.Connections,
+	}
 	if err := h.linker.Run(); err != nil {
 		return err
 	}
--- a/internal/transport/lister/lister.go
+++ b/internal/transport/lister/lister.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
 const callTimeout = 2 * time.Second
@@ -37,6 +37,5 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("get host list: status %d", response.StatusCode)
 	}
-	var listings []wigeonspindle.Listing
-	return listings, errors.Wrap(json.NewDecoder(response.Body).Decode(&listings), "decode host list")
+	return encoder.DecodeListings(response.Body)
 }
--- /dev/null
+++ b/internal/transport/server/listener.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+)
+
+// Bounds of every HTTP listener of a host.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 16 << 10
+)
+
+// Listener is an HTTP listener with bounded connections, headers and times.
+type Listener struct {
+	Name        string // Name says in errors and logs whom the listener serves.
+	Address     string
+	Handler     http.Handler
+	Connections int           // Connections is the largest number of open connections.
+	Read        time.Duration // Read bounds the time in which a request must arrive.
+	Write       time.Duration // Write bounds the time from a request's header to its answer.
+	Logger      *log.Logger
+
+	http http.Server
+	done chan struct{}
+}
+
+// Run listens and starts serving.
+func (l *Listener) Run() error {
+	listener, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s on %s", l.Name, l.Address)
+	}
+	listener = netutil.LimitListener(listener, l.Connections)
+	l.http.Handler = l.Handler
+	l.http.ReadHeaderTimeout = headerTimeout
+	l.http.ReadTimeout = l.Read
+	l.http.WriteTimeout = l.Write
+	l.http.IdleTimeout = idleTimeout
+	l.http.MaxHeaderBytes = maxHeader
+	l.done = make(chan struct{})
+	go func() {
+		defer close(l.done)
+		if err := l.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			l.Logger.Error("listener failed", "listener", l.Name, "error", err)
+		}
+	}()
+	return nil
+}
+
+// Close stops listening and waits for the requests in progress until ctx ends; then it
+// closes their connections.
+func (l *Listener) Close(ctx context.Context) error {
+	err := l.http.Shutdown(ctx)
+	if err != nil {
+		err = errors.CombineErrors(err, l.http.Close())
+	}
+	<-l.done
+	return errors.Wrapf(err, "stop listener for %s", l.Name)
+}
+
+// Refuse answers an unknown route, a wrong method or a failed handler with a refusal.
+func Refuse(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := &wigeonspindle.Refusal{
+		Code: wigeonspindle.CodeUnavailable, Verdict: wigeonspindle.NotRun, Message: "the request was not handled",
+	}
+	status := http.StatusInternalServerError
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		status = known.Code
+		refusal.Code, refusal.Message = wigeonspindle.CodeInvalid, http.StatusText(status)
+	}
+	_ = c.JSON(status, encoder.ErrorAnswer{Refusal: refusal}) // The client has gone when this fails.
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -1,24 +1,25 @@
-// Package server is the callers' HTTP listener.
+// Package server is the callers' HTTP listener and the listener type that it shares with
+// the operators' API.
 package server
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
-// Timeouts of the callers' listener.
+// Bounds of the callers' listener.
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	readTimeout = 5 * time.Second
+	// writeTimeout exceeds the longest budget, so that every answer can be written.
+	writeTimeout       = encoder.MaxBudget + 15*time.Second
+	defaultConnections = 4096
 )
 
 // Frontend is what the listener needs from the host.
@@ -31,46 +32,38 @@
 
 // Server serves callers.
 type Server struct {
-	Address  string
-	Frontend Frontend
-	Clock    wigeonspindle.Clock
-	Logger   *log.Logger
+	Address     string
+	Frontend    Frontend
+	Clock       wigeonspindle.Clock
+	Logger      *log.Logger
+	Body        int64         // Body is the largest request body in bytes; zero means the default.
+	Connections int           // Connections is the largest number of open connections; zero means the default.
+	Read        time.Duration // Read bounds the time in which a request must arrive; zero means the default.
 
-	http     http.Server
-	listener net.Listener
-	done     chan struct{}
+	listener Listener
 }
 
 // Run listens and starts serving.
 func (s *Server) Run() error {
-	listener, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return errors.Wrapf(err, "listen for callers on %s", s.Address)
-	}
-	s.listener = listener
 	router := echo.New()
+	router.HTTPErrorHandler = Refuse
 	router.GET("/addresses", s.addresses)
 	router.POST("/query", s.query)
-	s.http.Handler = router
-	s.http.ReadHeaderTimeout = headerTimeout
-	s.http.ReadTimeout = headerTimeout
-	s.http.IdleTimeout = idleTimeout
-	s.done = make(chan struct{})
-	go func() {
-		defer close(s.done)
-		if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			s.Logger.Error("callers' listener failed", "error", err)
-		}
-	}()
-	return nil
+	s.listener = Listener{
+		Name: "callers", Address: s.Address, Handler: router, Connections: s.Connections,
+		Read: s.Read, Write: writeTimeout, Logger: s.Logger,
+	}
+	if s.listener.Connections == 0 {
+		s.listener.Connections = defaultConnections
+	}
+	if s.listener.Read == 0 {
+		s.listener.Read = readTimeout
+	}
+	return s.listener.Run()
 }
 
 // Close stops listening and waits for the requests in progress until ctx ends.
-func (s *Server) Close(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	<-s.done
-	return errors.Wrap(err, "stop callers' listener")
-}
+func (s *Server) Close(ctx context.Context) error { return s.listener.Close(ctx) }
 
 func (s *Server) addresses(c echo.Context) error {
 	return c.JSON(http.StatusOK, s.Frontend.Addresses(c.QueryParam("domain")))
@@ -78,35 +71,17 @@
 
 func (s *Server) query(c echo.Context) error {
 	request := c.Request()
-	body := http.MaxBytesReader(c.Response(), request.Body, encoder.MaxBody)
-	query, refusal := encoder.DecodeQuery(body, s.Clock.Now())
+	limit := s.Body
+	if limit == 0 {
+		limit = encoder.MaxBody
+	}
+	query, refusal := encoder.DecodeQuery(http.MaxBytesReader(c.Response(), request.Body, limit), s.Clock.Now())
 	if refusal != nil {
-		return c.JSON(Status(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
+		return c.JSON(encoder.Status(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
 	}
 	answer := s.Frontend.Query(request.Context(), query)
 	if answer.Refusal != nil {
-		return c.JSON(Status(answer.Refusal), answer)
+		return c.JSON(encoder.Status(answer.Refusal), answer)
 	}
 	return c.JSON(http.StatusOK, answer)
 }
-
-// Status returns the HTTP status of a refusal.
-func Status(refusal *wigeonspindle.Refusal) int {
-	switch refusal.Code {
-	case wigeonspindle.CodeInvalid:
-		return http.StatusBadRequest
-	case wigeonspindle.CodeTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case wigeonspindle.CodeExpired:
-		return http.StatusGatewayTimeout
-	case wigeonspindle.CodeOverloaded:
-		return http.StatusTooManyRequests
-	case wigeonspindle.CodeConflict, wigeonspindle.CodeDuplicate:
-		return http.StatusConflict
-	case wigeonspindle.CodeQuarantined:
-		return http.StatusUnprocessableEntity
-	case wigeonspindle.CodeDenied:
-		return http.StatusUnauthorized
-	}
-	return http.StatusServiceUnavailable
-}
--- /dev/null
+++ b/internal/transport/server/server_test.go
@@ -0,0 +1,126 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+)
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// frontend answers after a delay, or reports a cancelled request.
+type frontend struct {
+	delay time.Duration
+}
+
+func (f *frontend) Query(ctx context.Context, _ wigeonspindle.Query) wigeonspindle.Answer {
+	select {
+	case <-ctx.Done():
+		refusal := &wigeonspindle.Refusal{Code: wigeonspindle.CodeCancelled, Verdict: wigeonspindle.MayHaveRun}
+		return wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal}
+	case <-time.After(f.delay):
+		return wigeonspindle.Answer{Verdict: wigeonspindle.Ran}
+	}
+}
+
+func (f *frontend) Addresses(string) wigeonspindle.AddressAnswer {
+	return wigeonspindle.AddressAnswer{TTL: wigeonspindle.Duration(time.Second)}
+}
+
+func start(t *testing.T, s *server.Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Address, s.Clock, s.Logger = listener.Addr().String(), systemClock{}, log.New(io.Discard)
+	_ = listener.Close()
+	if err := s.Run(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		if err := s.Close(context.Background()); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	return "http://" + s.Address
+}
+
+func call(t *testing.T, method, url, body string) (int, wigeonspindle.Answer) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer wigeonspindle.Answer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, answer
+}
+
+// TestRefusals guards against bodies over the limit that are reported as anything but not
+// run, and against operators' routes on the callers' listener.
+func TestRefusals(t *testing.T) {
+	url := start(t, &server.Server{Frontend: &frontend{}, Body: 2048})
+	tests := []struct {
+		name, method, path, body string
+		status                   int
+		code                     wigeonspindle.Code
+	}{
+		{"whole", "POST", "/query", `{"index":"lookup","body":"wool","budget":"1s"}`, 200, ""},
+		{"oversized", "POST", "/query", `{"index":"lookup","body":"` + strings.Repeat("w", 2048) + `"}`, 413, wigeonspindle.CodeTooLarge},
+		{"no budget", "POST", "/query", `{"index":"lookup","body":"wool"}`, 504, wigeonspindle.CodeExpired},
+		{"repeated shard", "POST", "/query", `{"index":"a","shards":["s","s"],"budget":"1s"}`, 400, wigeonspindle.CodeInvalid},
+		{"not UTF-8", "POST", "/query", "{\"index\":\"a\",\"body\":\"\xff\",\"budget\":\"1s\"}", 400, wigeonspindle.CodeInvalid},
+		{"inventory", "GET", "/inventory", "", 404, wigeonspindle.CodeInvalid},
+		{"domain", "PUT", "/domains/a", `{"out":true}`, 404, wigeonspindle.CodeInvalid},
+		{"drain", "POST", "/drain", "", 404, wigeonspindle.CodeInvalid},
+		{"metrics", "GET", "/metrics", "", 404, wigeonspindle.CodeInvalid},
+		{"method", "GET", "/query", "", 405, wigeonspindle.CodeInvalid},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			status, answer := call(t, test.method, url+test.path, test.body)
+			if status != test.status {
+				t.Errorf("status: got %d, want %d", status, test.status)
+			}
+			if test.code == "" {
+				return
+			}
+			if answer.Refusal == nil || answer.Refusal.Code != test.code || answer.Refusal.Verdict != wigeonspindle.NotRun {
+				t.Errorf("refusal: got %v, want code %s and verdict not-run", answer.Refusal, test.code)
+			}
+		})
+	}
+}
+
+// TestLongQuery guards against the read timeout of the listener cancelling a query whose
+// body has arrived.
+func TestLongQuery(t *testing.T) {
+	url := start(t, &server.Server{Frontend: &frontend{delay: 600 * time.Millisecond}, Read: 200 * time.Millisecond})
+	status, answer := call(t, "POST", url+"/query", `{"index":"lookup","body":"wool","budget":"1s"}`)
+	if status != 200 || answer.Verdict != wigeonspindle.Ran {
+		t.Errorf("answer: got status %d and verdict %s, want 200 and ran", status, answer.Verdict)
+	}
+}
--- a/internal/transport/storer/storer.go
+++ b/internal/transport/storer/storer.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -73,8 +72,8 @@
 	default:
 		return record, errors.Newf("store %s %s: status %d", method, key, response.StatusCode)
 	}
-	var value encoder.StoreValue
-	if err := json.NewDecoder(response.Body).Decode(&value); err != nil {
+	value, err := encoder.DecodeStoreValue(response.Body)
+	if err != nil {
 		return record, errors.Wrapf(err, "store %s %s", method, key)
 	}
 	record.Value, record.Version = value.Value, value.Version
