recorder: filter and merge the time line, log events

The logical counter does not wrap. Each event can be logged as one line of key=value pairs at the level of its kind.

--- a/internal/state/recorder/recorder.go
+++ b/internal/state/recorder/recorder.go
@@ -3,17 +3,25 @@
 package recorder
 
 import (
+	"math"
 	"sync"
+	"time"
 
 	"wigeonspindle.example/wigeonspindle"
 )
 
+// Sink receives the recorded events. Its calls are not ordered by stamp.
+type Sink interface {
+	Write(event wigeonspindle.Event)
+}
+
 // Recorder implements wigeonspindle.Recorder. The oldest events are overwritten.
 type Recorder struct {
 	Clock  wigeonspindle.Clock
 	Host   string
 	Domain string
-	Size   int // Size is the number of events kept.
+	Size   int  // Size is the number of events kept.
+	Sink   Sink // Sink receives each event after it was stamped; nil means none.
 
 	mutex  sync.Mutex
 	last   wigeonspindle.Stamp
@@ -23,18 +31,25 @@
 
 // Record stamps the event and keeps it.
 func (r *Recorder) Record(event wigeonspindle.Event) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	event.Stamp = r.advance()
 	event.Host = r.Host
 	if event.Domain == "" {
 		event.Domain = r.Domain
 	}
+	r.keep(&event)
+	if r.Sink != nil {
+		r.Sink.Write(event)
+	}
+}
+
+func (r *Recorder) keep(event *wigeonspindle.Event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	event.Stamp = r.advance()
 	if len(r.events) < r.Size {
-		r.events = append(r.events, event)
+		r.events = append(r.events, *event)
 		return
 	}
-	r.events[r.next] = event
+	r.events[r.next] = *event
 	r.next = (r.next + 1) % r.Size
 }
 
@@ -63,12 +78,21 @@
 	return append(events, r.events[:r.next]...)
 }
 
+// Select returns the events kept that match, the oldest first.
+func (r *Recorder) Select(filter wigeonspindle.EventFilter) []wigeonspindle.Event {
+	return Select(r.Events(), filter)
+}
+
 func (r *Recorder) advance() wigeonspindle.Stamp {
 	// Wall time without its monotonic reading, so that stamps compare equal after encoding.
 	now := r.Clock.Now().Round(0)
-	if now.After(r.last.Wall) {
+	switch {
+	case now.After(r.last.Wall):
 		r.last = wigeonspindle.Stamp{Wall: now}
-	} else {
+	case r.last.Logical == math.MaxUint32:
+		// A counter that wrapped would order an effect before its cause.
+		r.last = wigeonspindle.Stamp{Wall: r.last.Wall.Add(time.Nanosecond)}
+	default:
 		r.last.Logical++
 	}
 	return r.last
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -61,7 +61,10 @@
 func (h *Host) Run() error {
 	h.self = h.Settings.Host(NewIncarnation())
 	h.stop = make(chan struct{})
-	h.recorder = &recorder.Recorder{Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize}
+	h.recorder = &recorder.Recorder{
+		Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize,
+		Sink: &recorder.LogSink{Logger: h.Logger},
+	}
 	h.holder = &holder.Holder{}
 	h.view.Store(&wigeonspindle.View{Self: h.self})
 	h.ownership.Store(&wigeonspindle.Ownership{})
