administrator: operators' API and metrics

Changes name the expected revision and may be a dry run. Target gauges are sums and extremes over the owned targets, because a series for each target would grow with the fleet.

--- a/internal/protocol/encoder/document.go
+++ b/internal/protocol/encoder/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"wigeonspindle.example/wigeonspindle"
 )
@@ -67,6 +68,34 @@
 	Entries []wigeonspindle.Entry `json:"entries"`
 }
 
+// ChangeResult answers PUT /inventory and PUT /rules.
+type ChangeResult struct {
+	// Dry reports that nothing was changed.
+	Dry   bool                `json:"dry,omitempty"`
+	Entry wigeonspindle.Entry `json:"entry"`
+}
+
+// DrainResult answers POST /drain.
+type DrainResult struct {
+	Leaving bool `json:"leaving"`
+}
+
+// Health answers GET /health and GET /ready.
+type Health struct {
+	OK bool `json:"ok"`
+	// Reason says why the host is not ready.
+	Reason string `json:"reason,omitempty"`
+}
+
+// DefaultRules are the rules before the first change.
+func DefaultRules() wigeonspindle.Rules {
+	return wigeonspindle.Rules{
+		Extra: 0.05, Canary: true, Soft: 0.8,
+		Lifetime: wigeonspindle.Duration(10 * time.Minute), Expiry: wigeonspindle.Duration(10 * time.Minute),
+		Lease: wigeonspindle.Duration(3 * time.Second),
+	}
+}
+
 // ErrorAnswer is the body of every refusal of the operators' API.
 type ErrorAnswer struct {
 	Refusal *wigeonspindle.Refusal `json:"refusal"`
--- /dev/null
+++ b/internal/transport/administrator/changes.go
@@ -0,0 +1,208 @@
+package administrator
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+)
+
+func (a *Administrator) inventory(c echo.Context) error {
+	config, refusal := a.config()
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	return c.JSON(http.StatusOK, encoder.Inventory{Revision: config.Revision, Indexes: list(config.Indexes)})
+}
+
+func (a *Administrator) rules(c echo.Context) error {
+	config, refusal := a.config()
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	return c.JSON(http.StatusOK, encoder.RuleBook{Revision: config.Revision, Rules: config.Rules})
+}
+
+func (a *Administrator) domains(c echo.Context) error {
+	config, refusal := a.config()
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	return c.JSON(http.StatusOK, encoder.DomainList{
+		Revision: config.Revision, Domains: list(config.Domains), Overrides: list(a.Host.Status().Overrides),
+	})
+}
+
+func (a *Administrator) putInventory(c echo.Context) error {
+	return a.propose(c, encoder.PartInventory, func(config *wigeonspindle.Config, proposal encoder.Proposal) {
+		config.Indexes = proposal.Indexes
+	})
+}
+
+func (a *Administrator) putRules(c echo.Context) error {
+	return a.propose(c, encoder.PartRules, func(config *wigeonspindle.Config, proposal encoder.Proposal) {
+		config.Rules = *proposal.Rules
+	})
+}
+
+// propose applies a proposal to the configuration in force, if that is the one on which
+// the operator based it, and hands the result to the host.
+func (a *Administrator) propose(c echo.Context, part string, apply func(*wigeonspindle.Config, encoder.Proposal)) error {
+	dry, refusal := dryRun(c)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	data, refusal := body(c)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	proposal, refusal := encoder.DecodeProposal(data, part)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	base, refusal := a.base(*proposal.Expected)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	if proposal.Identity == "" {
+		proposal.Identity = rand.Text()
+	}
+	change := wigeonspindle.Change{
+		Identity: proposal.Identity, Expected: *proposal.Expected, Author: proposal.Author, Reason: proposal.Reason, Config: base,
+	}
+	apply(&change.Config, proposal)
+	entry, err := a.Host.Propose(c.Request().Context(), change, dry)
+	if err != nil {
+		return fail(c, err, wigeonspindle.MayHaveRun)
+	}
+	entry.Summary = list(entry.Summary)
+	return c.JSON(http.StatusOK, encoder.ChangeResult{Dry: dry, Entry: entry})
+}
+
+// base returns the configuration with the expected revision. Revision 0 is the empty
+// configuration before the first change.
+func (a *Administrator) base(expected wigeonspindle.Revision) (wigeonspindle.Config, *wigeonspindle.Refusal) {
+	config := wigeonspindle.Config{Rules: encoder.DefaultRules()}
+	if current := a.Host.Config(); current != nil {
+		config = *current
+	}
+	if config.Revision != expected {
+		return config, &wigeonspindle.Refusal{
+			Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun, Field: "expected",
+			Message: fmt.Sprintf("the revision in force on this host is %d, not %d", config.Revision, expected),
+		}
+	}
+	return config, nil
+}
+
+func (a *Administrator) putDomain(c echo.Context) error {
+	dry, refusal := dryRun(c)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	data, refusal := body(c)
+	if refusal != nil {
+		return refuse(c, refusal)
+	}
+	var proposal encoder.DomainProposal
+	if problems := encoder.DecodeAndCheck(data, &proposal); len(problems) > 0 {
+		return refuse(c, problems.Refusal())
+	}
+	name := c.Param("name")
+	if refusal := a.checkDomain(name, proposal); refusal != nil {
+		return refuse(c, refusal)
+	}
+	result := encoder.DomainResult{Domain: name, Out: *proposal.Out, Dry: dry}
+	if !dry {
+		soft, err := a.Host.SetDomain(c.Request().Context(), name, *proposal.Out, proposal.Author)
+		if err != nil {
+			return fail(c, err, wigeonspindle.MayHaveRun)
+		}
+		result.Soft = soft
+	}
+	return c.JSON(http.StatusOK, result)
+}
+
+// checkDomain refuses a failure domain that neither the configuration nor any host names,
+// because a misspelled name would leave the intended domain in service.
+func (a *Administrator) checkDomain(name string, proposal encoder.DomainProposal) *wigeonspindle.Refusal {
+	config := a.Host.Config()
+	if proposal.Expected != nil {
+		if _, refusal := a.base(*proposal.Expected); refusal != nil {
+			return refusal
+		}
+	}
+	known := slices.ContainsFunc(a.Host.Status().Members, func(member wigeonspindle.Member) bool {
+		return member.Host.Domain == name
+	})
+	if config != nil {
+		known = known || slices.ContainsFunc(config.Domains, func(domain wigeonspindle.Domain) bool { return domain.Name == name })
+		for _, index := range config.Indexes {
+			known = known || slices.ContainsFunc(index.Targets, func(target wigeonspindle.Target) bool { return target.Domain == name })
+		}
+	}
+	if !known {
+		return invalid("name", fmt.Sprintf("no host, target or rule names the failure domain %q", name))
+	}
+	return nil
+}
+
+func (a *Administrator) config() (*wigeonspindle.Config, *wigeonspindle.Refusal) {
+	if config := a.Host.Config(); config != nil {
+		return config, nil
+	}
+	return nil, &wigeonspindle.Refusal{
+		Code: wigeonspindle.CodeUnavailable, Verdict: wigeonspindle.NotRun, Message: "no configuration is known yet",
+	}
+}
+
+// body reads a request body up to the limit.
+func body(c echo.Context) ([]byte, *wigeonspindle.Refusal) {
+	data, err := io.ReadAll(c.Request().Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, &wigeonspindle.Refusal{
+			Code: wigeonspindle.CodeTooLarge, Verdict: wigeonspindle.NotRun,
+			Message: fmt.Sprintf("the request body exceeds %d bytes", large.Limit),
+		}
+	case err != nil:
+		return nil, invalid("", "the request body was not received: "+err.Error())
+	}
+	return data, nil
+}
+
+// dryRun reads the query parameter dry. A value that is not understood is refused, because
+// the operator may have meant a dry run.
+func dryRun(c echo.Context) (bool, *wigeonspindle.Refusal) {
+	for name := range c.QueryParams() {
+		if name != "dry" {
+			return false, invalid(name, "is not a known query parameter")
+		}
+	}
+	text := c.QueryParam("dry")
+	if text == "" && !c.QueryParams().Has("dry") {
+		return false, nil
+	}
+	dry, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, invalid("dry", "must be true or false")
+	}
+	return dry, nil
+}
+
+// list returns the elements as a list that is encoded as [] when it is empty.
+func list[T any](elements []T) []T {
+	if elements == nil {
+		return []T{}
+	}
+	return elements
+}
--- /dev/null
+++ b/internal/transport/administrator/meter.go
@@ -0,0 +1,153 @@
+package administrator
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+const (
+	namespace = "wigeonspindle"
+	// other replaces label values outside the known sets, so that callers cannot create
+	// series.
+	other = "other"
+	// maxRings bounds the values of the label ring.
+	maxRings = 64
+)
+
+// buckets are the bounds of the latency histogram in seconds. They are dense around the
+// 150 ms goal of the planned scale.
+var buckets = []float64{.002, .005, .01, .02, .035, .05, .075, .1, .125, .15, .2, .3, .5, 1, 2, 5, 10, 30, 60}
+
+var knownCodes = map[wigeonspindle.Code]bool{
+	wigeonspindle.CodeInvalid: true, wigeonspindle.CodeTooLarge: true, wigeonspindle.CodeExpired: true,
+	wigeonspindle.CodeOverloaded: true, wigeonspindle.CodeLeaving: true, wigeonspindle.CodeNotOwner: true,
+	wigeonspindle.CodeNoSnapshot: true, wigeonspindle.CodeShed: true, wigeonspindle.CodeUnreachable: true,
+	wigeonspindle.CodeBroken: true, wigeonspindle.CodeCancelled: true, wigeonspindle.CodeFailed: true,
+	wigeonspindle.CodeQuarantined: true, wigeonspindle.CodeUnavailable: true, wigeonspindle.CodeConflict: true,
+	wigeonspindle.CodeDuplicate: true, wigeonspindle.CodeDenied: true, wigeonspindle.CodeGone: true,
+}
+
+var knownVerdicts = map[wigeonspindle.Verdict]bool{
+	wigeonspindle.NotRun: true, wigeonspindle.MayHaveRun: true, wigeonspindle.Ran: true,
+}
+
+var knownKinds = map[wigeonspindle.SendKind]bool{
+	wigeonspindle.SendFirst: true, wigeonspindle.SendRetry: true,
+	wigeonspindle.SendHedge: true, wigeonspindle.SendCanary: true,
+}
+
+// Meter implements wigeonspindle.Meter. Create it with NewMeter and set Host before the
+// metrics are read.
+type Meter struct {
+	// Host supplies the index names and the gauges; nil means none.
+	Host  wigeonspindle.Administration
+	Clock wigeonspindle.Clock
+
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	missing  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	dropped  *prometheus.CounterVec
+
+	mutex sync.Mutex
+	rings map[string]bool
+}
+
+// NewMeter returns a meter with its own registry.
+func NewMeter(clock wigeonspindle.Clock) *Meter {
+	m := &Meter{Clock: clock, registry: prometheus.NewRegistry(), rings: make(map[string]bool)}
+	m.answers = counter("answers_total", "Answers to callers by verdict and coverage.", "index", "verdict", "coverage")
+	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "answer_duration_seconds", Buckets: buckets,
+		Help: "Time from a query's arrival to its answer.",
+	}, []string{"index"})
+	m.missing = counter("shards_missing_total", "Shards without an outcome in answers.", "index")
+	m.refusals = counter("refusals_total", "Refusals towards callers by code.", "index", "code")
+	m.attempts = counter("attempts_total", "Attempts handed to owners of targets by kind.", "index", "kind")
+	m.dropped = counter("ring_dropped_total", "Elements that a full ring refused.", "ring")
+	m.registry.MustRegister(
+		m.answers, m.latency, m.missing, m.refusals, m.attempts, m.dropped, &gauges{meter: m},
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// Handler serves the metrics.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4, Timeout: readTimeout})
+}
+
+// Answered counts an answer and its latency.
+func (m *Meter) Answered(index string, verdict wigeonspindle.Verdict, coverage wigeonspindle.Coverage, took time.Duration) {
+	index = m.index(index)
+	extent := "partial"
+	if coverage.Whole() {
+		extent = "whole"
+	}
+	m.answers.WithLabelValues(index, label(verdict, knownVerdicts, verdict.String()), extent).Inc()
+	m.latency.WithLabelValues(index).Observe(took.Seconds())
+	m.missing.WithLabelValues(index).Add(float64(max(0, coverage.Total-coverage.Answered)))
+}
+
+// Refused counts a refusal towards a caller.
+func (m *Meter) Refused(index string, code wigeonspindle.Code) {
+	m.refusals.WithLabelValues(m.index(index), label(code, knownCodes, string(code))).Inc()
+}
+
+// Sent counts an attempt handed to an owner.
+func (m *Meter) Sent(index string, kind wigeonspindle.SendKind) {
+	m.attempts.WithLabelValues(m.index(index), label(kind, knownKinds, string(kind))).Inc()
+}
+
+// Dropped counts an element that a full ring refused.
+func (m *Meter) Dropped(ring string) { m.dropped.WithLabelValues(m.ring(ring)).Inc() }
+
+// index returns the name of a configured index, or other.
+func (m *Meter) index(name string) string {
+	if m.Host == nil {
+		return other
+	}
+	config := m.Host.Config()
+	if config == nil {
+		return other
+	}
+	for i := range config.Indexes {
+		if config.Indexes[i].Name == name {
+			return name
+		}
+	}
+	return other
+}
+
+// ring returns the name of a ring, or other once there are too many.
+func (m *Meter) ring(name string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.rings[name] {
+		if len(m.rings) >= maxRings {
+			return other
+		}
+		m.rings[name] = true
+	}
+	return name
+}
+
+func label[T comparable](value T, known map[T]bool, name string) string {
+	if known[value] {
+		return name
+	}
+	return other
+}
--- /dev/null
+++ b/internal/transport/administrator/meter_test.go
@@ -0,0 +1,83 @@
+package administrator_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
+)
+
+// TestMetrics guards against metrics that lose their names, labels or units, on which
+// dashboards and alerts depend, and against labels that callers can choose.
+func TestMetrics(t *testing.T) {
+	host := newFake()
+	meter := administrator.NewMeter(clock{})
+	meter.Host = host
+	meter.Answered("lookup", wigeonspindle.Ran, wigeonspindle.Coverage{Answered: 2, Total: 2}, 120*time.Millisecond)
+	meter.Answered("lookup", wigeonspindle.Ran, wigeonspindle.Coverage{Answered: 1, Total: 4}, 3*time.Second)
+	meter.Refused("chosen by a caller", wigeonspindle.CodeInvalid)
+	meter.Refused("lookup", "chosen by a peer")
+	meter.Sent("lookup", wigeonspindle.SendHedge)
+	meter.Sent("lookup", "chosen by a peer")
+	meter.Dropped("outcomes")
+	api := &administrator.Administrator{Token: token, Host: host, Meter: meter}
+	_, text := call(api.Handler(), "GET", "/metrics", "")
+	want := []string{
+		`wigeonspindle_answers_total{coverage="whole",index="lookup",verdict="ran"} 1`,
+		`wigeonspindle_answers_total{coverage="partial",index="lookup",verdict="ran"} 1`,
+		`wigeonspindle_answer_duration_seconds_bucket{index="lookup",le="0.125"} 1`,
+		`wigeonspindle_answer_duration_seconds_sum{index="lookup"} 3.12`,
+		`wigeonspindle_shards_missing_total{index="lookup"} 3`,
+		`wigeonspindle_refusals_total{code="invalid",index="other"} 1`,
+		`wigeonspindle_refusals_total{code="other",index="lookup"} 1`,
+		`wigeonspindle_attempts_total{index="lookup",kind="hedge"} 1`,
+		`wigeonspindle_attempts_total{index="lookup",kind="other"} 1`,
+		`wigeonspindle_ring_dropped_total{ring="outcomes"} 1`,
+		`wigeonspindle_ready 1`,
+		`wigeonspindle_leaving 0`,
+		`wigeonspindle_config_revision 7`,
+		`wigeonspindle_store_silence_seconds 2`,
+		`wigeonspindle_queries_running 3`,
+		`wigeonspindle_members{condition="live"} 1`,
+		`wigeonspindle_members{condition="suspect"} 1`,
+		`wigeonspindle_members{condition="gone"} 0`,
+		`wigeonspindle_domains_out 2`,
+		`wigeonspindle_overrides 1`,
+		`wigeonspindle_ring_elements{ring="queries"} 3`,
+		`wigeonspindle_ring_capacity_elements{ring="queries"} 8192`,
+		`wigeonspindle_targets_owned 2`,
+		`wigeonspindle_targets_ramping 1`,
+		`wigeonspindle_targets_attempts_running 3`,
+		`wigeonspindle_targets_attempts_waiting 5`,
+		`wigeonspindle_targets_level_min_ratio 0.25`,
+		`wigeonspindle_lease_remaining_min_seconds 1`,
+	}
+	lines := strings.Split(text, "\n")
+	got := make(map[string]bool, len(lines))
+	for _, line := range lines {
+		got[line] = true
+	}
+	for _, line := range want {
+		if !got[line] {
+			t.Errorf("metrics: missing %s", line)
+		}
+	}
+	if strings.Contains(text, "chosen by") {
+		t.Errorf("metrics: got a label that is not bounded in\n%s", text)
+	}
+}
+
+// TestRingLabels guards against rings named after peers that create series without bound.
+func TestRingLabels(t *testing.T) {
+	meter := administrator.NewMeter(clock{})
+	for i := range 1000 {
+		meter.Dropped(strings.Repeat("r", i+1))
+	}
+	api := &administrator.Administrator{Token: token, Host: newFake(), Meter: meter}
+	_, text := call(api.Handler(), "GET", "/metrics", "")
+	if got := strings.Count(text, "wigeonspindle_ring_dropped_total{"); got != 65 {
+		t.Errorf("series: got %d, want 65", got)
+	}
+}
