--- a/cmd/wigeonspindle/main.go
+++ b/cmd/wigeonspindle/main.go
@@ -8,6 +8,6 @@
 )
 
 func main() {
-	command := &commander.Commander{Out: os.Stdout, Err: os.Stderr}
+	command := &commander.Commander{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
 	os.Exit(command.Run(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/transport/commander/check.go
@@ -0,0 +1,46 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+)
+
+// checkCommand checks files without using them.
+type checkCommand struct {
+	Config    string `long:"config" value-name:"FILE" description:"settings file to check"`
+	Inventory string `long:"inventory" value-name:"FILE" description:"inventory to check"`
+	Rules     string `long:"rules" value-name:"FILE" description:"rules to check"`
+
+	commander *Commander
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	if c.Config == "" && c.Inventory == "" && c.Rules == "" {
+		return errors.Wrap(errUsage, "give at least one of --config, --inventory and --rules")
+	}
+	checks := []struct {
+		file  string
+		check func(string) error
+	}{
+		{c.Config, func(file string) error { _, err := parser.Load(file); return err }},
+		{c.Inventory, func(file string) error { _, err := c.commander.readInventory(file); return err }},
+		{c.Rules, func(file string) error { _, err := c.commander.readRules(file); return err }},
+	}
+	var faults error
+	for _, check := range checks {
+		if check.file == "" {
+			continue
+		}
+		if err := check.check(check.file); err != nil {
+			_, _ = fmt.Fprintln(c.commander.Err, "error:", err)
+			faults = errors.New("some files have faults")
+			continue
+		}
+		_, _ = fmt.Fprintln(c.commander.Out, check.file, "is valid")
+	}
+	return faults
+}
--- a/internal/transport/commander/commander.go
+++ b/internal/transport/commander/commander.go
@@ -4,21 +4,44 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
+
+	"wigeonspindle.example/wigeonspindle"
 )
 
 // Exit codes of the program.
 const (
-	ExitOK      = 0
-	ExitFailure = 1
-	ExitUsage   = 2
+	ExitOK       = 0
+	ExitFailure  = 1 // ExitFailure means that the command failed and changed nothing.
+	ExitUsage    = 2 // ExitUsage means that the command line is wrong.
+	ExitConflict = 3 // ExitConflict means that the expected revision is not the current one.
+	ExitUnknown  = 4 // ExitUnknown means that the change may have taken effect.
+	ExitPartial  = 5 // ExitPartial means that some hosts did not answer.
 )
 
+// exitCodes is shown below the list of commands.
+const exitCodes = `Exit codes:
+  0  success
+  1  failure; nothing was changed
+  2  wrong command line
+  3  conflict: the expected revision is not the current one; nothing was changed
+  4  unknown: the change may have taken effect; look at the history
+  5  partial: some hosts did not answer
+`
+
+// errPartial is returned by a command that printed an incomplete result.
+var errPartial = errors.New("some hosts did not answer")
+
+// errUsage marks errors of the command line that the flags library does not find.
+var errUsage = errors.New("wrong command line")
+
 // Commander runs one command line.
 type Commander struct {
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 }
@@ -26,28 +49,73 @@
 // Run parses and executes a command line and returns the exit code.
 func (c *Commander) Run(args []string) int {
 	parser := flags.NewNamedParser("wigeonspindle", flags.HelpFlag|flags.PassDoubleDash)
-	c.add(parser, "run", "Run a host", &runCommand{commander: c})
-	c.add(parser, "version", "Print the version", &versionCommand{commander: c})
+	parser.ShortDescription = "Query tier between callers and index shards"
+	c.commands(parser)
 	_, err := parser.ParseArgs(args)
-	var parse *flags.Error
+	return c.exit(parser, err)
+}
+
+func (c *Commander) commands(parser *flags.Parser) {
+	add(parser.Command, "run", "Run a host", &runCommand{commander: c})
+	add(parser.Command, "check", "Check files without using them", &checkCommand{commander: c})
+	inventory := add(parser.Command, "inventory", "Read or change indexes and targets", &struct{}{})
+	add(inventory, "get", "Print the inventory in force", &inventoryGetCommand{commander: c})
+	add(inventory, "put", "Put an inventory in force", &inventoryPutCommand{commander: c})
+	add(inventory, "diff", "Check an inventory and print what it would change", &inventoryDiffCommand{commander: c})
+	rules := add(parser.Command, "rules", "Read or change the rules", &struct{}{})
+	add(rules, "get", "Print the rules in force", &rulesGetCommand{commander: c})
+	add(rules, "put", "Put rules in force", &rulesPutCommand{commander: c})
+	add(rules, "diff", "Check rules and print what they would change", &rulesDiffCommand{commander: c})
+	add(parser.Command, "history", "Print the accepted changes, the newest first", &historyCommand{commander: c})
+	domain := add(parser.Command, "domain", "Take a failure domain out of service or bring it back", &struct{}{})
+	add(domain, "out", "Take a failure domain out of service", &domainOutCommand{commander: c})
+	add(domain, "in", "Bring a failure domain back into service", &domainInCommand{commander: c})
+	add(parser.Command, "drain", "Start the planned stop of a host", &drainCommand{commander: c})
+	add(parser.Command, "status", "Print the state of a host", &statusCommand{commander: c})
+	add(parser.Command, "timeline", "Print the merged events of all hosts", &timelineCommand{commander: c})
+	add(parser.Command, "example", "Print an example file of a deployment", &exampleCommand{commander: c})
+	add(parser.Command, "version", "Print the version", &versionCommand{commander: c})
+}
+
+// exit prints an error and returns its exit code.
+func (c *Commander) exit(parser *flags.Parser, err error) int {
+	var usage *flags.Error
+	var refusal *wigeonspindle.Refusal
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
-		_, _ = fmt.Fprintln(c.Out, parse.Message)
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(c.Out, usage.Message)
+		if parser.Active == nil {
+			_, _ = fmt.Fprint(c.Out, exitCodes)
+		}
 		return ExitOK
-	case errors.As(err, &parse):
-		_, _ = fmt.Fprintln(c.Err, parse.Message)
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(c.Err, "error:", strings.TrimSpace(usage.Message))
 		return ExitUsage
 	}
 	_, _ = fmt.Fprintln(c.Err, "error:", err)
+	switch {
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, errPartial):
+		return ExitPartial
+	case !errors.As(err, &refusal):
+		return ExitFailure
+	case refusal.Verdict != wigeonspindle.NotRun:
+		return ExitUnknown
+	case refusal.Code == wigeonspindle.CodeConflict:
+		return ExitConflict
+	}
 	return ExitFailure
 }
 
-func (c *Commander) add(parser *flags.Parser, name, short string, command any) {
-	if _, err := parser.AddCommand(name, short, "", command); err != nil {
+func add(parent *flags.Command, name, short string, command any) *flags.Command {
+	added, err := parent.AddCommand(name, short, "", command)
+	if err != nil {
 		panic(err) // A command with a malformed option is a programming error.
 	}
+	return added
 }
 
 // systemClock implements wigeonspindle.Clock.
--- /dev/null
+++ b/internal/transport/commander/domain_out.go
@@ -0,0 +1,13 @@
+package commander
+
+// domainOutCommand takes a failure domain out of service.
+type domainOutCommand struct {
+	domainOptions
+
+	commander *Commander
+}
+
+// Execute runs the command.
+func (c *domainOutCommand) Execute([]string) error {
+	return c.commander.setDomain(c.domainOptions, true)
+}
--- /dev/null
+++ b/internal/transport/commander/example_test.go
@@ -0,0 +1,109 @@
+package commander_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/commander"
+)
+
+// run executes a command line and returns its exit code and output.
+func run(args ...string) (code int, out, err string) {
+	var stdout, stderr bytes.Buffer
+	command := &commander.Commander{In: &bytes.Buffer{}, Out: &stdout, Err: &stderr}
+	code = command.Run(args)
+	return code, stdout.String(), stderr.String()
+}
+
+func example(name ...string) string {
+	return filepath.Join(append([]string{"..", "..", "..", "examples"}, name...)...)
+}
+
+// TestExamples guards against example files that differ from the output of the documented
+// command, that a host refuses, or whose sizes are not those of table 1.4 of the design.
+func TestExamples(t *testing.T) {
+	tests := []struct {
+		deployment string
+		hosts      int
+		domains    int
+		targets    map[string]int
+		shards     map[string]int
+	}{
+		{"cooperative", 15, 4, map[string]int{"lookup": 100, "commissions": 7, "ledger": 4}, map[string]int{"lookup": 50, "commissions": 1, "ledger": 1}},
+		{"hinterberger", 15, 3, map[string]int{"articles": 100, "warehouse": 20, "accounts": 10}, map[string]int{"articles": 50, "warehouse": 1, "accounts": 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.deployment, func(t *testing.T) {
+			for _, document := range []string{"settings", "inventory", "rules"} {
+				file, err := os.ReadFile(example(test.deployment, document+".json"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, out, _ := run("example", "--deployment", test.deployment, document); out != string(file) {
+					t.Errorf("%s: the file differs from the output of the command", document)
+				}
+			}
+			code, out, failure := run("check", "--config", example(test.deployment, "settings.json"),
+				"--inventory", example(test.deployment, "inventory.json"), "--rules", example(test.deployment, "rules.json"))
+			if code != commander.ExitOK {
+				t.Fatalf("check: got code %d, %s%s", code, out, failure)
+			}
+			checkSizes(t, test.deployment, test.domains, test.targets, test.shards)
+			checkHosts(t, test.deployment, test.hosts)
+		})
+	}
+}
+
+func checkSizes(t *testing.T, deployment string, domains int, targets, shards map[string]int) {
+	t.Helper()
+	data, err := os.ReadFile(example(deployment, "inventory.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var inventory encoder.Inventory
+	if problems := encoder.DecodeAndCheck(data, &inventory); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	seen, addresses := make(map[string]bool), make(map[string]bool)
+	for _, index := range inventory.Indexes {
+		if got, want := len(index.Targets), targets[index.Name]; got != want {
+			t.Errorf("targets of %s: got %d, want %d", index.Name, got, want)
+		}
+		if got, want := len(index.Snapshots[0].Shards), shards[index.Name]; got != want {
+			t.Errorf("shards of %s: got %d, want %d", index.Name, got, want)
+		}
+		for _, target := range index.Targets {
+			seen[target.Domain], addresses[target.Address] = true, true
+		}
+	}
+	want := 0
+	for _, count := range targets {
+		want += count
+	}
+	if len(seen) != domains || len(addresses) != want {
+		t.Errorf("inventory: got %d domains and %d addresses, want %d and %d", len(seen), len(addresses), domains, want)
+	}
+}
+
+func checkHosts(t *testing.T, deployment string, hosts int) {
+	t.Helper()
+	names := make(map[string]bool)
+	for number := 1; number <= hosts; number++ {
+		_, out, _ := run("example", "--deployment", deployment, "--number", itoa(number), "settings")
+		settings, problems := parser.Parse([]byte(out))
+		if len(problems) > 0 {
+			t.Errorf("host %d: got %v", number, problems)
+		}
+		names[settings.Name+settings.Caller] = true
+	}
+	if len(names) != hosts {
+		t.Errorf("hosts: got %d different ones, want %d", len(names), hosts)
+	}
+	if code, _, _ := run("example", "--number", itoa(hosts+1), "settings"); code != commander.ExitUsage {
+		t.Errorf("host %d: got code %d, want %d", hosts+1, code, commander.ExitUsage)
+	}
+}
--- /dev/null
+++ b/internal/transport/commander/proposal.go
@@ -0,0 +1,119 @@
+package commander
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+)
+
+// fileArgument is the file of a change.
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"file in JSON; - means standard input"`
+}
+
+// proposalOptions are the options of commands that propose a change.
+type proposalOptions struct {
+	connection
+	Expected *uint64 `long:"expected" description:"revision on which the change is based; default: the revision in FILE"`
+	Author   string  `long:"author" env:"USER" description:"who makes the change"`
+	JSON     bool    `long:"json" description:"print the answer in JSON"`
+}
+
+// read returns the content of a file or of standard input.
+func (c *Commander) read(name string) ([]byte, error) {
+	if name == "-" {
+		data, err := io.ReadAll(c.In)
+		return data, errors.Wrap(err, "read standard input")
+	}
+	data, err := os.ReadFile(name)
+	return data, errors.Wrap(err, "read document")
+}
+
+// readInventory reads and checks an inventory.
+func (c *Commander) readInventory(name string) (encoder.Inventory, error) {
+	var inventory encoder.Inventory
+	return inventory, c.readDocument(name, &inventory)
+}
+
+// readRules reads and checks rules.
+func (c *Commander) readRules(name string) (encoder.RuleBook, error) {
+	var rules encoder.RuleBook
+	return rules, c.readDocument(name, &rules)
+}
+
+func (c *Commander) readDocument(name string, value any) error {
+	data, err := c.read(name)
+	if err != nil {
+		return err
+	}
+	if problems := encoder.DecodeAndCheck(data, value); len(problems) > 0 {
+		return errors.Wrapf(problems, "%s", name)
+	}
+	return nil
+}
+
+// proposeInventory sends an inventory as a change.
+func (c *Commander) proposeInventory(options proposalOptions, file, reason string, dry bool) error {
+	document, err := c.readInventory(file)
+	if err != nil {
+		return err
+	}
+	proposal := encoder.Proposal{Indexes: document.Indexes, Reason: reason}
+	return c.propose(options, "/inventory", document.Revision, proposal, dry)
+}
+
+// proposeRules sends rules as a change.
+func (c *Commander) proposeRules(options proposalOptions, file, reason string, dry bool) error {
+	document, err := c.readRules(file)
+	if err != nil {
+		return err
+	}
+	proposal := encoder.Proposal{Rules: &document.Rules, Reason: reason}
+	return c.propose(options, "/rules", document.Revision, proposal, dry)
+}
+
+// propose sends a change and prints its entry. The identity is chosen here and printed when
+// the result is unknown, so that the operator can find the change in the history.
+func (c *Commander) propose(options proposalOptions, path string, revision wigeonspindle.Revision, proposal encoder.Proposal, dry bool) error {
+	if options.Expected != nil {
+		revision = wigeonspindle.Revision(*options.Expected)
+	}
+	proposal.Expected, proposal.Author, proposal.Identity = &revision, options.Author, rand.Text()
+	if dry {
+		path += "?dry=true"
+	}
+	ctx, cancel := options.with()
+	defer cancel()
+	var result encoder.ChangeResult
+	err := options.call(ctx, http.MethodPut, options.Address, path, proposal, &result)
+	var refusal *wigeonspindle.Refusal
+	if errors.As(err, &refusal) && refusal.Verdict != wigeonspindle.NotRun && !dry {
+		_, _ = fmt.Fprintf(c.Err, "the change has the identity %s; it took effect if the history lists it\n", proposal.Identity)
+	}
+	if err != nil {
+		return err
+	}
+	if options.JSON {
+		return printJSON(c.Out, result)
+	}
+	c.printChange(result)
+	return nil
+}
+
+func (c *Commander) printChange(result encoder.ChangeResult) {
+	if result.Dry {
+		_, _ = fmt.Fprintln(c.Out, "accepted in a dry run; nothing was changed")
+	} else {
+		_, _ = fmt.Fprintf(c.Out, "revision %d is accepted\n", result.Entry.Revision)
+	}
+	for _, line := range result.Entry.Summary {
+		_, _ = fmt.Fprintln(c.Out, "  "+line)
+	}
+}
