Add validation and writing of configuration changes

A change is validated in full, its index documents and the previous entry of the history are written first, and a compare-and-swap of the head puts it in force. Documents are never overwritten while a head may refer to them: a change that meets a rival's document takes the next revision, so revisions may have gaps. A lost answer is resolved by reading the head and the history back.

The root package gains Head, Reference, IndexDocument, Codec, Fault and Placement; Domain gains the stamp of its last change.

--- /dev/null
+++ b/document.go
@@ -0,0 +1,64 @@
+package wigeonspindle
+
+import "fmt"
+
+// Keys of the store's documents that hold the configuration.
+const (
+	KeyHead    = "head"
+	KeyHistory = "history"
+)
+
+// IndexKey returns the store's key of an index document. The document of a revision is
+// written once and never changed while a head refers to it.
+func IndexKey(name string, changed Revision) string {
+	return fmt.Sprintf("index.%s.%d", name, changed)
+}
+
+// Reference names the index document that belongs to a head.
+type Reference struct {
+	Name    string   `json:"name"`
+	Changed Revision `json:"changed"`
+}
+
+// Head is the store's document that puts a configuration in force.
+type Head struct {
+	Revision Revision    `json:"revision"`
+	Rules    Rules       `json:"rules"`
+	Domains  []Domain    `json:"domains,omitempty"`
+	Indexes  []Reference `json:"indexes,omitempty"`
+	// Entry describes the last change. The next writer copies it to the history before it
+	// replaces the head, so a change whose writer crashed still reaches the history.
+	Entry Entry `json:"entry"`
+	// Logged is a version of the history that holds every earlier entry. A reader that
+	// gets an older version has a stale answer.
+	Logged uint64 `json:"logged,omitempty"`
+}
+
+// IndexDocument is the store's document of one index.
+type IndexDocument struct {
+	Identity string `json:"identity"` // Identity is that of the change that wrote the document.
+	Index    Index  `json:"index"`
+}
+
+// Codec encodes and decodes the documents of the store.
+type Codec interface {
+	Encode(value any) ([]byte, error)
+	Decode(data []byte, value any) error
+}
+
+// Fault is one error in a proposed configuration.
+type Fault struct {
+	Field   string `json:"field"` // Field is the path of the field, such as indexes[0].name.
+	Message string `json:"message"`
+}
+
+// Placement lists what receives no new work. It is immutable once published.
+type Placement struct {
+	Out   map[string]bool // Out holds the failure domains that are out of service.
+	Drops map[string]bool // Drops holds the names of targets that are leaving.
+}
+
+// Open reports whether the target may receive new work. A nil placement admits all.
+func (p *Placement) Open(target Target) bool {
+	return p == nil || !p.Out[target.Domain] && !p.Drops[target.Name] && !target.Leaving
+}
--- /dev/null
+++ b/internal/coordination/committer/domain.go
@@ -0,0 +1,52 @@
+package committer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// domainTries bounds the attempts to change a domain against other operators' changes.
+const domainTries = 8
+
+// SetDomain changes the state of a failure domain in whatever configuration is in force. A
+// change that is not newer than the domain's last change is not written. The proposal's
+// Config and Expected are not used.
+func (c *Committer) SetDomain(ctx context.Context, proposal Proposal, name string, out bool) (wigeonspindle.Config, error) {
+	var err error
+	for range domainTries {
+		var current Current
+		if current, err = c.Load(ctx, proposal.Known); err != nil {
+			return current.Config, unavailable(wigeonspindle.NotRun, err)
+		}
+		i := slices.IndexFunc(current.Config.Domains, func(d wigeonspindle.Domain) bool { return d.Name == name })
+		if i < 0 {
+			return current.Config, &wigeonspindle.Refusal{
+				Code: wigeonspindle.CodeInvalid, Verdict: wigeonspindle.NotRun, Field: "domain",
+				Message: fmt.Sprintf("got %q, accepted: a name in domains", name),
+			}
+		}
+		domain := current.Config.Domains[i]
+		if domain.Out == out || !domain.Stamp.Less(proposal.Stamp) {
+			return current.Config, nil
+		}
+		attempt := proposal
+		attempt.Change.Expected = current.Config.Revision
+		attempt.Change.Config = current.Config
+		attempt.Change.Config.Domains = slices.Clone(current.Config.Domains)
+		attempt.Change.Config.Domains[i].Out = out
+		var config wigeonspindle.Config
+		if _, config, err = c.Commit(ctx, attempt); err == nil {
+			return config, nil
+		}
+		var refusal *wigeonspindle.Refusal
+		if !errors.As(err, &refusal) || refusal.Code != wigeonspindle.CodeConflict {
+			return current.Config, err
+		}
+	}
+	return wigeonspindle.Config{}, err
+}
--- /dev/null
+++ b/internal/coordination/committer/history.go
@@ -0,0 +1,106 @@
+package committer
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// History returns the latest accepted changes, the newest first.
+func (c *Committer) History(ctx context.Context) ([]wigeonspindle.Entry, error) {
+	record, err := c.Store.Get(ctx, wigeonspindle.KeyHead)
+	if err != nil {
+		return nil, unavailable(wigeonspindle.NotRun, err)
+	}
+	if record.Version == 0 {
+		return nil, nil
+	}
+	var head wigeonspindle.Head
+	if err := c.Codec.Decode(record.Value, &head); err != nil {
+		return nil, unavailable(wigeonspindle.NotRun, err)
+	}
+	_, entries, err := c.entries(ctx, head)
+	if err != nil {
+		return nil, unavailable(wigeonspindle.NotRun, err)
+	}
+	entries = include(entries, head.Entry)
+	slices.Reverse(entries)
+	return entries, nil
+}
+
+// entries reads the history, the oldest entry first. It refuses a version older than the
+// one that the head names.
+func (c *Committer) entries(ctx context.Context, head wigeonspindle.Head) (wigeonspindle.Record, []wigeonspindle.Entry, error) {
+	record, err := c.Store.Get(ctx, wigeonspindle.KeyHistory)
+	if err != nil {
+		return record, nil, errors.Wrap(err, "read history")
+	}
+	if record.Version < head.Logged {
+		return record, nil, errors.Newf("read history: got version %d, older than version %d that the head names", record.Version, head.Logged)
+	}
+	var entries []wigeonspindle.Entry
+	if record.Version == 0 {
+		return record, nil, nil
+	}
+	return record, entries, errors.Wrap(c.Codec.Decode(record.Value, &entries), "read history")
+}
+
+// include adds an entry unless it is present and keeps the latest entries.
+func include(entries []wigeonspindle.Entry, entry wigeonspindle.Entry) []wigeonspindle.Entry {
+	present := func(other wigeonspindle.Entry) bool { return other.Revision == entry.Revision }
+	if !slices.ContainsFunc(entries, present) {
+		entries = append(entries, entry)
+	}
+	if len(entries) > HistorySize {
+		entries = entries[len(entries)-HistorySize:]
+	}
+	return entries
+}
+
+// log copies the head's entry to the history and returns a version that holds it.
+func (c *Committer) log(ctx context.Context, head wigeonspindle.Head) (uint64, error) {
+	if head.Revision == 0 {
+		return 0, nil
+	}
+	var err error
+	for range tries {
+		var record wigeonspindle.Record
+		var entries []wigeonspindle.Entry
+		if record, entries, err = c.entries(ctx, head); err != nil {
+			continue
+		}
+		present := func(other wigeonspindle.Entry) bool { return other.Revision == head.Revision }
+		if slices.ContainsFunc(entries, present) {
+			return record.Version, nil
+		}
+		record.Key = wigeonspindle.KeyHistory
+		if record.Value, err = c.Codec.Encode(include(entries, head.Entry)); err != nil {
+			return 0, err
+		}
+		var written wigeonspindle.Record
+		if written, err = c.Store.Swap(ctx, record); err == nil {
+			return written.Version, nil
+		}
+	}
+	return 0, errors.Wrap(err, "write history")
+}
+
+// logged looks for an accepted change in the head and in the history.
+func (c *Committer) logged(ctx context.Context, current Current, identity string) (wigeonspindle.Entry, bool, error) {
+	if identity == "" {
+		return wigeonspindle.Entry{}, false, nil
+	}
+	if current.Head.Entry.Identity == identity {
+		return current.Head.Entry, true, nil
+	}
+	_, entries, err := c.entries(ctx, current.Head)
+	for _, entry := range entries {
+		if entry.Identity == identity {
+			return entry, true, nil
+		}
+	}
+	return wigeonspindle.Entry{}, false, err
+}
--- /dev/null
+++ b/internal/coordination/validator/summary.go
@@ -0,0 +1,103 @@
+package validator
+
+import (
+	"fmt"
+	"reflect"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// maxLines bounds a summary, because the history of 100 entries is one document of the
+// store.
+const maxLines = 40
+
+// Summary lists the differences between two configurations, one line each.
+func Summary(before, after wigeonspindle.Config) []string {
+	var lines []string
+	lines = append(lines, fields("rules", reflect.ValueOf(before.Rules), reflect.ValueOf(after.Rules))...)
+	lines = append(lines, compare("domain", before.Domains, after.Domains,
+		func(d wigeonspindle.Domain) string { return d.Name }, domainLines)...)
+	lines = append(lines, compare("index", before.Indexes, after.Indexes,
+		func(i wigeonspindle.Index) string { return i.Name }, indexLines)...)
+	if len(lines) > maxLines {
+		rest := len(lines) - maxLines + 1
+		lines = append(lines[:maxLines-1], fmt.Sprintf("%d more differences", rest))
+	}
+	return lines
+}
+
+// Same reports whether two versions of an index differ in nothing but their revision.
+func Same(a, b wigeonspindle.Index) bool {
+	a.Changed, b.Changed = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
+// compare lists the added, removed and changed elements of two lists with unique names.
+func compare[T any](kind string, before, after []T, name func(T) string, changed func(T, T) []string) []string {
+	old := make(map[string]T, len(before))
+	for _, element := range before {
+		old[name(element)] = element
+	}
+	var lines []string
+	for _, element := range after {
+		previous, ok := old[name(element)]
+		if !ok {
+			lines = append(lines, fmt.Sprintf("%s %s added", kind, name(element)))
+			continue
+		}
+		delete(old, name(element))
+		lines = append(lines, changed(previous, element)...)
+	}
+	for _, element := range before {
+		if _, ok := old[name(element)]; ok {
+			lines = append(lines, fmt.Sprintf("%s %s removed", kind, name(element)))
+		}
+	}
+	return lines
+}
+
+func domainLines(before, after wigeonspindle.Domain) []string {
+	switch {
+	case before.Out == after.Out:
+		return nil
+	case after.Out:
+		return []string{fmt.Sprintf("domain %s taken out of service", after.Name)}
+	}
+	return []string{fmt.Sprintf("domain %s brought back", after.Name)}
+}
+
+func indexLines(before, after wigeonspindle.Index) []string {
+	path := "index " + after.Name
+	var lines []string
+	if before.Prefer != after.Prefer {
+		lines = append(lines, fmt.Sprintf("%s: prefer: %s to %s", path, before.Prefer, after.Prefer))
+	}
+	lines = append(lines, compare(path+": snapshot", before.Snapshots, after.Snapshots,
+		func(s wigeonspindle.Snapshot) string { return s.Version },
+		func(a, b wigeonspindle.Snapshot) []string {
+			return fields(path+": snapshot "+b.Version, reflect.ValueOf(a), reflect.ValueOf(b))
+		})...)
+	return append(lines, compare(path+": target", before.Targets, after.Targets,
+		func(t wigeonspindle.Target) string { return t.Name },
+		func(a, b wigeonspindle.Target) []string {
+			return fields(path+": target "+b.Name, reflect.ValueOf(a), reflect.ValueOf(b))
+		})...)
+}
+
+// fields lists the fields of two structs of one type that differ.
+func fields(path string, before, after reflect.Value) []string {
+	var lines []string
+	for i := range before.NumField() {
+		a, b := before.Field(i).Interface(), after.Field(i).Interface()
+		if reflect.DeepEqual(a, b) {
+			continue
+		}
+		name := before.Type().Field(i).Name
+		if before.Field(i).Kind() == reflect.Slice {
+			lines = append(lines, fmt.Sprintf("%s: %s: %d to %d elements", path, name, before.Field(i).Len(), after.Field(i).Len()))
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("%s: %s: %v to %v", path, name, a, b))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/protocol/encoder/documents.go
@@ -0,0 +1,22 @@
+package encoder
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Documents implements wigeonspindle.Codec with JSON.
+type Documents struct{}
+
+// Encode returns the JSON of a document.
+func (Documents) Encode(value any) ([]byte, error) {
+	data, err := json.Marshal(value)
+	return data, errors.Wrap(err, "encode document")
+}
+
+// Decode reads a document. Unknown fields are ignored, because hosts of two versions read
+// the same store during a rolling replacement.
+func (Documents) Decode(data []byte, value any) error {
+	return errors.Wrap(json.Unmarshal(data, value), "decode document")
+}
--- a/inventory.go
+++ b/inventory.go
@@ -56,6 +56,9 @@
 type Domain struct {
 	Name string `json:"name" validate:"required,max=64"`
 	Out  bool   `json:"out"`
+	// Stamp is when Out last changed; the store sets it. An override with an earlier stamp
+	// has no effect.
+	Stamp Stamp `json:"stamp,omitzero"`
 }
 
 // Rules are the operators' settings for the whole deployment.
--- a/refusal.go
+++ b/refusal.go
@@ -34,6 +34,8 @@
 	// Field is the path of the invalid field, empty when no single field is at fault.
 	Field   string `json:"field,omitempty"`
 	Message string `json:"message"`
+	// Faults lists every error of a refused configuration.
+	Faults []Fault `json:"faults,omitempty"`
 	// Addresses is the current address list, set when the caller should go elsewhere.
 	Addresses []Address `json:"addresses,omitempty"`
 }
