Add failure detection, relay of configuration, overrides and address answers

detector: live, suspect, cut, leaving and gone. A report of a peer counts for cut only when it is later than the host's own certain silence, so a dead or frozen host is never cut; a cut host is live again after 4 heartbeats in a row. Three refused connections show that a silent host's process has ended. The host list only adds addresses to dial. A host that was itself paused excuses the silence of that time. Listings do not name a cell, so hosts of unknown cell are dialled in groups of 16.

relayer: two watchers per domain by rendezvous, pulls of deltas from peers, soft overrides ordered by stamp also against the configuration, leaving targets.

The revision check in Apply is redundant with the one in Offer.

--- a/host.go
+++ b/host.go
@@ -33,6 +33,9 @@
 	Host      Host      `json:"host"`
 	Condition Condition `json:"condition"`
 	Heard     time.Time `json:"heard"` // Heard is when the last heartbeat arrived.
+	// Dead reports that the silent host's address refuses connections, so that its process
+	// has ended. A frozen host's address still accepts connections.
+	Dead bool `json:"dead,omitempty"`
 }
 
 // View is an immutable membership view of one cell.
--- /dev/null
+++ b/internal/coordination/balancer/balancer_test.go
@@ -0,0 +1,78 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
+)
+
+// cell returns 6 hosts in the domains a, b and c with the given conditions.
+func cell(conditions ...wigeonspindle.Condition) *wigeonspindle.View {
+	view := &wigeonspindle.View{}
+	for i, condition := range conditions {
+		domain := string(rune('a' + i%3))
+		host := wigeonspindle.Host{Name: fmt.Sprint(i), Caller: fmt.Sprint(i), Domain: domain, Incarnation: wigeonspindle.Incarnation(fmt.Sprint(i))}
+		view.Members = append(view.Members, wigeonspindle.Member{Host: host, Condition: condition})
+	}
+	return view
+}
+
+// TestAddresses guards against callers that are sent to hosts that are leaving, silent or
+// out of service while better ones exist, and against an empty answer while any host is up.
+func TestAddresses(t *testing.T) {
+	live, gone, suspect := wigeonspindle.Live, wigeonspindle.Gone, wigeonspindle.Suspect
+	out := func(domains ...string) *wigeonspindle.Placement {
+		p := &wigeonspindle.Placement{Out: make(map[string]bool)}
+		for _, domain := range domains {
+			p.Out[domain] = true
+		}
+		return p
+	}
+	tests := []struct {
+		name      string
+		view      *wigeonspindle.View
+		placement *wigeonspindle.Placement
+		domain    string
+		want      string
+	}{
+		{"own domain first", cell(live, live, live, live, live, live), nil, "b", "[1 4 0 2 3 5]"},
+		{"unknown domain", cell(live, live, live), nil, "", "[0 1 2]"},
+		{"left out", cell(wigeonspindle.Leaving, live, wigeonspindle.Cut, suspect, live, gone), nil, "a", "[1 4]"},
+		{"own domain out", cell(live, live, live, live), out("a"), "a", "[1 2]"},
+		{"only silent hosts", cell(gone, suspect, wigeonspindle.Cut), nil, "c", "[2 1]"},
+		{"all domains out", cell(live, live, suspect), out("a", "b", "c"), "b", "[1 0]"},
+		{"only a leaving host", cell(wigeonspindle.Leaving, gone), nil, "a", "[0]"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var names []string
+			for _, address := range balancer.Addresses(test.view, test.placement, test.domain, 0) {
+				names = append(names, address.Address)
+			}
+			if got := fmt.Sprint(names); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// TestSpread guards against callers that all start at the same host.
+func TestSpread(t *testing.T) {
+	var live []wigeonspindle.Condition
+	for range 15 {
+		live = append(live, wigeonspindle.Live)
+	}
+	for domain, hosts := range map[string]int{"a": 5, "": 15} {
+		counts := make(map[string]int)
+		for turn := range uint64(1500) {
+			counts[balancer.Addresses(cell(live...), nil, domain, turn)[0].Address]++
+		}
+		for address, count := range counts {
+			if count != 1500/hosts {
+				t.Errorf("domain %q: host %s: got %d of 1500 callers, want %d", domain, address, count, 1500/hosts)
+			}
+		}
+	}
+}
--- a/internal/coordination/committer/main_test.go
+++ b/internal/coordination/committer/main_test.go
@@ -9,8 +9,10 @@
 // TestMain fixes the seed of the generated cases, so that a failure repeats.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/internal/coordination/detector/detector_test.go
@@ -0,0 +1,201 @@
+package detector_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/detector"
+)
+
+// trace is a recorded run. Times are in milliseconds.
+type trace struct {
+	Guards   string    `json:"guards"`
+	Beats    []beat    `json:"beats"`
+	Lists    []list    `json:"lists"`
+	Refusals []refusal `json:"refusals"`
+	Pauses   []span    `json:"pauses"`
+	Wants    []want    `json:"wants"`
+}
+
+// beat is a heartbeat every 500 ms from From to To.
+type beat struct {
+	Host        string   `json:"host"`
+	Incarnation string   `json:"incarnation"`
+	Cell        string   `json:"cell"`
+	From        int      `json:"from"`
+	To          int      `json:"to"`
+	Heard       []string `json:"heard"`
+	Leaving     bool     `json:"leaving"`
+	Stamp       int      `json:"stamp"` // Stamp is the sending time when it differs from the arrival.
+}
+
+type list struct {
+	At      int      `json:"at"`
+	Hosts   []string `json:"hosts"`
+	Leaving []string `json:"leaving"`
+}
+
+type refusal struct {
+	Host string `json:"host"`
+	At   int    `json:"at"`
+}
+
+type span struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+type want struct {
+	At           int               `json:"at"`
+	Conditions   map[string]string `json:"conditions"`
+	Incarnations map[string]string `json:"incarnations"`
+}
+
+func at(milliseconds int) time.Time { return time.UnixMilli(int64(1_000_000 + milliseconds)) }
+
+// TestTraces replays every recorded run; each trace names the failure that it guards against.
+func TestTraces(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("got %d traces, error %v", len(paths), err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var recorded trace
+			if err := json.Unmarshal(data, &recorded); err != nil {
+				t.Fatal(err)
+			}
+			replay(t, recorded)
+		})
+	}
+}
+
+func replay(t *testing.T, recorded trace) {
+	t.Helper()
+	d := &detector.Detector{Self: wigeonspindle.Host{Name: "a", Incarnation: "a1", Cell: "main"}}
+	end := recorded.Wants[len(recorded.Wants)-1].At
+	for now := 0; now <= end; now += 50 {
+		paused := func(s span) bool { return s.From < now && now < s.To }
+		if slices.ContainsFunc(recorded.Pauses, paused) {
+			continue
+		}
+		for _, l := range recorded.Lists {
+			if l.At == now {
+				d.Listed(listings(l))
+			}
+		}
+		for _, r := range recorded.Refusals {
+			if r.At == now {
+				d.Refused(r.Host)
+			}
+		}
+		for _, b := range recorded.Beats {
+			if now >= b.From && now <= b.To && (now-b.From)%500 == 0 {
+				hear(d, b, now)
+			}
+		}
+		d.Tick(at(now))
+		for _, w := range recorded.Wants {
+			if w.At == now {
+				compare(t, d, w)
+			}
+		}
+	}
+}
+
+func listings(l list) []wigeonspindle.Listing {
+	var all []wigeonspindle.Listing
+	for _, name := range l.Hosts {
+		all = append(all, wigeonspindle.Listing{Name: name, Link: "127.0.0.1:1", Leaving: slices.Contains(l.Leaving, name)})
+	}
+	return all
+}
+
+func hear(d *detector.Detector, b beat, now int) {
+	host := wigeonspindle.Host{Name: b.Host, Incarnation: wigeonspindle.Incarnation(b.Incarnation), Cell: "main", Link: "127.0.0.1:2"}
+	if b.Cell != "" {
+		host.Cell = b.Cell
+	}
+	stamp := now
+	if b.Stamp != 0 {
+		stamp = b.Stamp
+	}
+	d.Heard(wigeonspindle.Heartbeat{Host: host, Heard: b.Heard, Leaving: b.Leaving}, wigeonspindle.Stamp{Wall: at(stamp)}, at(now))
+}
+
+func compare(t *testing.T, d *detector.Detector, w want) {
+	t.Helper()
+	members := make(map[string]wigeonspindle.Member)
+	for _, m := range d.View(at(w.At)).Members {
+		members[m.Host.Name] = m
+	}
+	for name, condition := range w.Conditions {
+		if got := string(members[name].Condition); got != condition {
+			t.Errorf("%d ms: host %s: got %q, want %q", w.At, name, got, condition)
+		}
+	}
+	for name, incarnation := range w.Incarnations {
+		if got := string(members[name].Host.Incarnation); got != incarnation {
+			t.Errorf("%d ms: host %s: got incarnation %q, want %q", w.At, name, got, incarnation)
+		}
+	}
+	for _, host := range d.Dial(nil, at(w.At)) {
+		if condition, ok := w.Conditions[host.Name]; ok && condition == "" {
+			t.Errorf("%d ms: host %s is dialled, want no link", w.At, host.Name)
+		}
+	}
+}
+
+// TestDial guards against a host that opens links to a whole fleet of listed hosts, and
+// against listed hosts that are never tried.
+func TestDial(t *testing.T) {
+	d := &detector.Detector{Self: wigeonspindle.Host{Name: "a", Cell: "main"}}
+	var all []wigeonspindle.Listing
+	for i := range 2400 {
+		all = append(all, wigeonspindle.Listing{Name: fmt.Sprintf("h%04d", i), Link: fmt.Sprintf("127.1.%d.%d:1", i/250, i%250)})
+	}
+	d.Listed(all)
+	tried := make(map[string]bool)
+	for second := range 600 {
+		hosts := d.Dial(nil, at(second*1000))
+		if len(hosts) > 16 {
+			t.Fatalf("got %d links, want at most 16", len(hosts))
+		}
+		for _, host := range hosts {
+			tried[host.Name] = true
+		}
+	}
+	if len(tried) != len(all) {
+		t.Errorf("got %d hosts tried in 10 minutes, want %d", len(tried), len(all))
+	}
+}
+
+// BenchmarkTick measures the cost of one decision by the number of hosts that answer.
+func BenchmarkTick(b *testing.B) {
+	for _, hosts := range []int{5, 15, 30, 60} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			d := &detector.Detector{Self: wigeonspindle.Host{Name: "a", Cell: "main"}}
+			var names []string
+			for i := range hosts {
+				names = append(names, fmt.Sprintf("h%d", i))
+			}
+			for _, name := range names {
+				hear(d, beat{Host: name, Heard: names}, 0)
+			}
+			for b.Loop() {
+				d.Tick(at(0))
+				d.View(at(0))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/detector/dial.go
@@ -0,0 +1,102 @@
+package detector
+
+import (
+	"slices"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+const (
+	// probeCount bounds the listed hosts of unknown cell that are dialled at a time.
+	probeCount = 16
+	// probePeriod is how long each group of such hosts is dialled. It covers the time to
+	// open a link and to receive a heartbeat.
+	probePeriod = 3 * time.Second
+	// foreignPeriod is how long a host of another cell is not dialled.
+	foreignPeriod = 10 * time.Minute
+	// maxForeign bounds the hosts of other cells that are remembered.
+	maxForeign = 8192
+)
+
+// Listed notes the platform's list of hosts. The list only adds hosts to dial: it lags, so
+// that neither an absence nor a mark in it changes the condition of a host.
+func (d *Detector) Listed(listings []wigeonspindle.Listing) {
+	d.listed = make(map[string]wigeonspindle.Listing, len(listings))
+	for _, listing := range listings {
+		if listing.Link != "" && listing.Name != d.Self.Name {
+			d.listed[listing.Name] = listing
+		}
+	}
+}
+
+// exclude notes a host of another cell.
+func (d *Detector) exclude(name string, now time.Time) {
+	if d.foreign == nil {
+		d.foreign = make(map[string]time.Time)
+	}
+	if len(d.foreign) < maxForeign {
+		d.foreign[name] = now
+	}
+	delete(d.members, name)
+}
+
+// Dial returns the hosts to keep links to: the hosts of the cell and a bounded number of
+// hosts whose cell is not known yet. Peers are addresses from the settings.
+func (d *Detector) Dial(peers []string, now time.Time) []wigeonspindle.Host {
+	var hosts, unknown []wigeonspindle.Host
+	addresses := map[string]bool{d.Self.Link: true}
+	for name, m := range d.members {
+		host := m.host
+		listing, listed := d.listed[name]
+		if m.condition == wigeonspindle.Gone && !listed {
+			continue
+		}
+		// A host that restarted elsewhere is found at the address that the list names.
+		if listed && (m.condition == wigeonspindle.Gone || m.condition == wigeonspindle.Suspect) {
+			host.Link = listing.Link
+		}
+		addresses[host.Link] = true
+		hosts = append(hosts, host)
+	}
+	for name, listing := range d.listed {
+		since, foreign := d.foreign[name]
+		if foreign && now.Sub(since) >= foreignPeriod {
+			delete(d.foreign, name)
+			foreign = false
+		}
+		if d.members[name] == nil && !foreign {
+			unknown = append(unknown, wigeonspindle.Host{Name: name, Link: listing.Link})
+			addresses[listing.Link] = true
+		}
+	}
+	for _, address := range peers {
+		if !addresses[address] {
+			unknown = append(unknown, wigeonspindle.Host{Name: address, Link: address})
+		}
+	}
+	slices.SortFunc(unknown, byName)
+	hosts = append(hosts, group(unknown, now)...)
+	slices.SortFunc(hosts, byName)
+	return hosts
+}
+
+// group selects the unknown hosts whose turn it is.
+func group(unknown []wigeonspindle.Host, now time.Time) []wigeonspindle.Host {
+	if len(unknown) <= probeCount {
+		return unknown
+	}
+	groups := (len(unknown) + probeCount - 1) / probeCount
+	first := int(now.UnixNano()/int64(probePeriod)) % groups * probeCount
+	return unknown[first:min(first+probeCount, len(unknown))]
+}
+
+func byName(a, b wigeonspindle.Host) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/coordination/relayer/relayer_test.go
@@ -0,0 +1,256 @@
+package relayer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/relayer"
+	"wigeonspindle.example/wigeonspindle/internal/state/holder"
+)
+
+// TestMain fixes the seed of the generated cases, so that a failure repeats.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// node is a host of the simulated cell.
+type node struct {
+	host    wigeonspindle.Host
+	holder  *holder.Holder
+	relayer *relayer.Relayer
+	lowest  wigeonspindle.Revision // lowest is the highest revision seen in this incarnation.
+}
+
+// cell is a simulated cell with its store.
+type cell struct {
+	nodes   []*node
+	configs []wigeonspindle.Config // configs holds the accepted configurations by revision.
+	down    bool
+	muted   map[[2]int]bool // muted holds the pairs of hosts that do not hear each other.
+	late    []wigeonspindle.Delta
+	now     time.Time
+	watches int
+}
+
+func newCell(hosts int) *cell {
+	c := &cell{configs: make([]wigeonspindle.Config, 1), muted: make(map[[2]int]bool), now: time.Unix(1000, 0)}
+	for i := range hosts {
+		c.nodes = append(c.nodes, &node{host: wigeonspindle.Host{Name: fmt.Sprintf("h%d", i), Domain: fmt.Sprintf("d%d", i%3)}})
+		c.restart(i)
+	}
+	return c
+}
+
+func (c *cell) restart(i int) {
+	n := c.nodes[i]
+	n.holder, n.lowest = &holder.Holder{}, 0
+	n.relayer = &relayer.Relayer{Self: n.host, Started: c.now}
+}
+
+// commit accepts a configuration that changes, adds or removes one of four indexes.
+func (c *cell) commit(choice int) {
+	last := c.configs[len(c.configs)-1]
+	next := wigeonspindle.Config{Revision: wigeonspindle.Revision(len(c.configs))}
+	name, found := fmt.Sprintf("i%d", choice%4), false
+	for _, index := range last.Indexes {
+		if index.Name == name {
+			found = true
+			if choice >= 8 {
+				continue
+			}
+			index.Changed = next.Revision
+		}
+		next.Indexes = append(next.Indexes, index)
+	}
+	if !found {
+		next.Indexes = append(next.Indexes, wigeonspindle.Index{Name: name, Changed: next.Revision})
+	}
+	c.configs = append(c.configs, next)
+}
+
+func (c *cell) view(i int) *wigeonspindle.View {
+	view := &wigeonspindle.View{Self: c.nodes[i].host}
+	for j, n := range c.nodes {
+		condition := wigeonspindle.Live
+		if c.muted[[2]int{min(i, j), max(i, j)}] {
+			condition = wigeonspindle.Suspect
+		}
+		view.Members = append(view.Members, wigeonspindle.Member{Host: n.host, Condition: condition})
+	}
+	return view
+}
+
+// round is one heartbeat period: watchers read the store, heartbeats arrive and pulls run.
+func (c *cell) round(t *rapid.T, stale int) {
+	c.now = c.now.Add(wigeonspindle.HeartbeatPeriod)
+	c.watches = 0
+	for i, n := range c.nodes {
+		view := c.view(i)
+		if n.relayer.Watches(view, c.now) {
+			c.watches++
+			if !c.down && len(c.configs) > 1 {
+				config := c.configs[max(1, len(c.configs)-1-stale)]
+				n.holder.Offer(&config)
+			}
+		}
+		for j, peer := range c.nodes {
+			if i != j && view.Members[j].Condition == wigeonspindle.Live {
+				n.relayer.Heard(peer.host.Name, peer.holder.Revision())
+			}
+		}
+		if name, ok := n.relayer.Pull(view, n.holder.Revision(), c.now); ok {
+			for _, peer := range c.nodes {
+				if delta, newer := peer.holder.Delta(n.holder.Revision()); newer && peer.host.Name == name {
+					c.late = append(c.late, delta)
+					n.holder.Apply(delta)
+					n.relayer.Answered()
+				}
+			}
+		}
+		c.check(t, n)
+	}
+}
+
+func (c *cell) check(t *rapid.T, n *node) {
+	revision := n.holder.Revision()
+	if revision < n.lowest {
+		t.Fatalf("host %s: got revision %d after %d", n.host.Name, revision, n.lowest)
+	}
+	n.lowest = revision
+	if config := n.holder.Config(); config != nil && !reflect.DeepEqual(*config, c.configs[revision]) {
+		t.Fatalf("host %s: got %+v, want %+v", n.host.Name, *config, c.configs[revision])
+	}
+}
+
+func (c *cell) act(t *rapid.T) {
+	i, j := rapid.IntRange(0, len(c.nodes)-1).Draw(t, "host"), rapid.IntRange(0, len(c.nodes)-1).Draw(t, "peer")
+	stale := 0
+	switch rapid.SampledFrom([]string{"commit", "store", "restart", "mute", "late", "stale", "round"}).Draw(t, "act") {
+	case "commit":
+		if !c.down {
+			c.commit(rapid.IntRange(0, 11).Draw(t, "choice"))
+		}
+	case "store":
+		c.down = !c.down
+	case "restart":
+		// One host always keeps the configuration, as in an outage that not every host restarts in.
+		if i > 0 {
+			c.restart(i)
+		}
+	case "mute":
+		pair := [2]int{min(i, j), max(i, j)}
+		c.muted[pair] = i != j && !c.muted[pair]
+	case "late":
+		if len(c.late) > 0 {
+			c.nodes[i].holder.Apply(c.late[rapid.IntRange(0, len(c.late)-1).Draw(t, "delta")])
+		}
+	case "stale":
+		stale = rapid.IntRange(1, 3).Draw(t, "behind")
+	}
+	c.round(t, stale)
+}
+
+// TestSpread guards against a revision that goes back on a host, a delta merged wrongly, and
+// a change that does not reach every host: 10 rounds after the links healed, all hosts have
+// the newest configuration that the store or any host has.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := newCell(rapid.IntRange(2, 9).Draw(r, "hosts"))
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			c.act(r)
+		}
+		clear(c.muted)
+		for range 10 {
+			c.round(r, 0)
+		}
+		newest := wigeonspindle.Revision(0)
+		if !c.down {
+			newest = wigeonspindle.Revision(len(c.configs) - 1)
+		}
+		for _, n := range c.nodes {
+			newest = max(newest, n.holder.Revision())
+		}
+		for _, n := range c.nodes {
+			if got := n.holder.Revision(); got != newest {
+				r.Fatalf("host %s: got revision %d, want %d", n.host.Name, got, newest)
+			}
+		}
+		if want := 2 * min(3, len(c.nodes)); c.watches > want {
+			r.Fatalf("got %d watches, want at most %d", c.watches, want)
+		}
+	})
+}
+
+// TestWatches guards against hosts that disagree on the watchers and against a domain
+// without one after the loss of a watcher.
+func TestWatches(t *testing.T) {
+	c := newCell(15)
+	for i, n := range c.nodes {
+		if n.relayer.Watches(c.view(i), c.now) {
+			t.Errorf("host %s has just started and watches, want it to listen first", n.host.Name)
+		}
+	}
+	c.now = c.now.Add(relayer.Grace)
+	elected := func(lost int) map[string][]string {
+		all := make(map[string][]string)
+		for i, n := range c.nodes {
+			view := c.view(i)
+			if lost >= 0 {
+				view.Members[lost].Condition = wigeonspindle.Gone
+			}
+			if i != lost && n.relayer.Watches(view, c.now) {
+				all[n.host.Domain] = append(all[n.host.Domain], n.host.Name)
+			}
+		}
+		return all
+	}
+	for lost := -1; lost < len(c.nodes); lost++ {
+		for domain, names := range elected(lost) {
+			if len(names) != relayer.Watchers {
+				t.Errorf("host %d lost: domain %s: got watchers %v, want %d", lost, domain, names, relayer.Watchers)
+			}
+		}
+	}
+}
+
+// TestPull guards against a peer that never answers and keeps a host from asking another.
+func TestPull(t *testing.T) {
+	c := newCell(3)
+	r := c.nodes[0].relayer
+	r.Heard("h1", 5)
+	r.Heard("h2", 5)
+	first, ok := r.Pull(c.view(0), 1, c.now)
+	if !ok {
+		t.Fatal("got no pull, want one")
+	}
+	if again, ok := r.Pull(c.view(0), 1, c.now.Add(relayer.PullTimeout/2)); ok {
+		t.Errorf("got a second pull from %s, want none while one waits", again)
+	}
+	second, ok := r.Pull(c.view(0), 1, c.now.Add(relayer.PullTimeout))
+	if !ok || second == first {
+		t.Errorf("got pull from %q after %q did not answer, want another peer", second, first)
+	}
+}
+
+// TestBackoff guards against watchers that return to a store after an outage all at once or
+// without a pause.
+func TestBackoff(t *testing.T) {
+	for failures, want := range map[int]time.Duration{1: 250 * time.Millisecond, 3: time.Second, 6: 8 * time.Second, 1000: 8 * time.Second} {
+		if low, high := relayer.Backoff(failures, 0), relayer.Backoff(failures, 1); low != want/2 || high != want {
+			t.Errorf("%d failures: got %s to %s, want %s to %s", failures, low, high, want/2, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/holder/holder_test.go
@@ -0,0 +1,51 @@
+package holder_test
+
+import (
+	"testing"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/holder"
+)
+
+func config(revision wigeonspindle.Revision, indexes ...wigeonspindle.Index) *wigeonspindle.Config {
+	return &wigeonspindle.Config{Revision: revision, Indexes: indexes}
+}
+
+// TestApply guards against a configuration mixed from two revisions: a delta fits only a
+// host that already has the revision on which the delta builds.
+func TestApply(t *testing.T) {
+	peer := &holder.Holder{}
+	peer.Offer(config(4, wigeonspindle.Index{Name: "x", Changed: 3}, wigeonspindle.Index{Name: "y", Changed: 4}))
+	delta, ok := peer.Delta(3)
+	if !ok || len(delta.Config.Indexes) != 1 {
+		t.Fatalf("delta: got %+v, want only index y", delta)
+	}
+	tests := []struct {
+		name   string
+		before *wigeonspindle.Config
+		want   bool
+	}{
+		{"base", config(3, wigeonspindle.Index{Name: "x", Changed: 3}, wigeonspindle.Index{Name: "y", Changed: 1}), true},
+		{"behind the base", config(2, wigeonspindle.Index{Name: "x", Changed: 1}, wigeonspindle.Index{Name: "y", Changed: 1}), false},
+		{"nothing", nil, false},
+		{"newer", config(5), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := &holder.Holder{}
+			if test.before != nil {
+				h.Offer(test.before)
+			}
+			revision := h.Revision()
+			if got := h.Apply(delta); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+			if test.want {
+				revision = 4
+			}
+			if got := h.Revision(); got != revision {
+				t.Errorf("revision: got %d, want %d", got, revision)
+			}
+		})
+	}
+}
