--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -66,7 +66,10 @@
 	if h.Meter == nil {
 		h.Meter = noMeter{}
 	}
-	h.recorder = &recorder.Recorder{Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize}
+	h.recorder = &recorder.Recorder{
+		Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize,
+		Sink: &recorder.LogSink{Logger: h.Logger},
+	}
 	h.holder = &holder.Holder{}
 	h.view.Store(&wigeonspindle.View{Self: h.self})
 	h.ownership.Store(&wigeonspindle.Ownership{})
@@ -80,7 +83,10 @@
 	}
 	h.control = newControlLoop(h)
 	h.leases = newLeaseLoop(h)
-	h.server = &server.Server{Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger}
+	h.server = &server.Server{
+		Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger,
+		Body: h.Settings.Body, Connections: h.Settings.Connections,
+	}
 	if err := h.linker.Run(); err != nil {
 		return err
 	}
