launcher: count lost outcomes, publish exclusions, measure queries

The control loop can publish excluded domains and targets through Host.excluded; the query loops adopt them without a restart.

--- a/internal/coordination/coordinator/attempts.go
+++ b/internal/coordination/coordinator/attempts.go
@@ -21,7 +21,8 @@
 	if !ok || kind == wigeonspindle.SendHedge && !c.Hedges.Take() {
 		return false
 	}
-	attempt := &wigeonspindle.Attempt{
+	attempt := c.allocate()
+	*attempt = wigeonspindle.Attempt{
 		ID: c.NextID(), Query: c.Query.ID, Trace: c.Query.Trace, Target: target, Index: c.Index.Name, Shard: s.name,
 		Snapshot: c.snapshot.Version, Generation: c.generation, Class: c.Query.Class, Identity: c.Query.Identity,
 		Body: c.Query.Body, Deadline: c.Query.Deadline.Add(-wigeonspindle.HopMargin), Fingerprint: c.Query.Fingerprint,
@@ -51,6 +52,17 @@
 	return true
 }
 
+// allocate returns room for an attempt. The first attempts of all shards share one
+// allocation, which halves the allocations of a wide query.
+func (c *Coordinator) allocate() *wigeonspindle.Attempt {
+	if len(c.room) == 0 {
+		return &wigeonspindle.Attempt{}
+	}
+	attempt := &c.room[0]
+	c.room = c.room[1:]
+	return attempt
+}
+
 // sent records an attempt on the time line.
 func (c *Coordinator) sent(s *shard, kind wigeonspindle.SendKind, target string) {
 	switch kind {
@@ -147,7 +159,7 @@
 		return
 	}
 	s.rounds++
-	s.tried, s.retryAt, s.hedgeAt = nil, at, time.Time{}
+	s.tried, s.retryAt, s.hedgeAt = s.tried[:0], at, time.Time{}
 	c.wakeAt(at)
 }
 
--- a/internal/coordination/coordinator/coordinator.go
+++ b/internal/coordination/coordinator/coordinator.go
@@ -95,12 +95,14 @@
 	crashed    bool
 	done       bool
 	actions    []Action
+	room       []wigeonspindle.Attempt // room is for the first attempts.
 }
 
 // shard is the state of one shard of the query.
 type shard struct {
 	name     string
 	tried    []string
+	pair     [2]string // pair is the room of the first two targets tried.
 	flights  [2]uint64 // flights holds the counters of the running attempts: at most one and a hedge.
 	running  int
 	runs     int // runs counts the attempts that may have run.
@@ -269,9 +271,11 @@
 	c.hedgeAfter = c.Policy.HedgeAfter(c.Estimator.Estimate(now))
 	c.shards = make([]shard, len(names))
 	c.running = make(map[uint64]flight, len(names))
+	c.room = make([]wigeonspindle.Attempt, len(names))
 	c.actions = slices.Grow(c.actions, len(names)+2)
 	for i, name := range names {
-		c.shards[i] = shard{name: name, verdict: wigeonspindle.NotRun}
+		s := &c.shards[i]
+		s.name, s.verdict, s.tried = name, wigeonspindle.NotRun, s.pair[:0]
 	}
 	c.wake = c.Query.Deadline
 	c.wakeAt(c.soft)
--- a/internal/coordination/coordinator/harness_test.go
+++ b/internal/coordination/coordinator/harness_test.go
@@ -36,7 +36,7 @@
 
 func newHarness(index wigeonspindle.Index, query wigeonspindle.Query) *harness {
 	picker := &router.Picker{Domain: "a", Rand: rand.New(rand.NewPCG(1, 1))}
-	picker.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil)
+	picker.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil, nil)
 	retries := &hedger.Budget{Share: 0.1, Burst: 100}
 	retries.Fill()
 	h := &harness{hedges: &hedger.Budget{Share: 0.05, Burst: 10}, events: make(map[wigeonspindle.Kind]int)}
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -96,9 +96,9 @@
 
 type lack struct{ target, version string }
 
-// Configure takes a configuration and the failure domains that are out of service beyond
-// those that it names. What is known about the targets is kept.
-func (p *Picker) Configure(config *wigeonspindle.Config, out []string) {
+// Configure takes a configuration, and the failure domains and targets that are out of
+// service beyond those that it names. What is known about the targets is kept.
+func (p *Picker) Configure(config *wigeonspindle.Config, domains, targets []string) {
 	known := p.targets
 	p.config = config
 	p.replicas = make(map[string]map[string][]*replica, len(config.Indexes))
@@ -107,7 +107,7 @@
 	for _, domain := range config.Domains {
 		p.out[domain.Name] = domain.Out
 	}
-	for _, domain := range out {
+	for _, domain := range domains {
 		p.out[domain] = true
 	}
 	for _, index := range config.Indexes {
@@ -119,6 +119,7 @@
 				entry = &replica{}
 			}
 			entry.target = target
+			entry.target.Leaving = target.Leaving || slices.Contains(targets, target.Name)
 			p.targets[target.Name] = entry
 			for _, shard := range target.Shards {
 				shards[shard] = append(shards[shard], entry)
--- a/internal/coordination/router/router_test.go
+++ b/internal/coordination/router/router_test.go
@@ -21,7 +21,7 @@
 		})
 	}
 	p := &router.Picker{Domain: "a", Rand: rand.New(rand.NewPCG(1, 1))}
-	p.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil)
+	p.Configure(&wigeonspindle.Config{Indexes: []wigeonspindle.Index{index}}, nil, nil)
 	return p
 }
 
@@ -60,10 +60,16 @@
 	}
 	config := *p.Config()
 	config.Domains = []wigeonspindle.Domain{{Name: "b", Out: true}}
-	p.Configure(&config, nil)
+	p.Configure(&config, nil, nil)
 	if p.Holds("lookup", "v1", "s", epoch) {
 		t.Error("domain out: got a replica, want none")
 	}
+	config.Domains = nil
+	p.Configure(&config, []string{"c"}, []string{"t1"})
+	if got, ok := p.Pick("lookup", "v0", "s", []string{"t0"}, epoch); ok {
+		t.Errorf("excluded domain and target: got %s, want none", got)
+	}
+	p.Configure(&config, nil, nil)
 	if !p.Holds("lookup", "v1", "s", epoch.Add(time.Minute)) || !p.Holds("lookup", "v0", "s", epoch) {
 		t.Error("refusal of the snapshot: want it forgotten after a while and limited to the version")
 	}
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -27,14 +27,19 @@
 
 // newFleet starts hosts over one index with the given shards, two replicas each, and waits
 // until all of them answer.
-func newFleet(t *testing.T, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+func newFleet(t testing.TB, hosts, shards int, rules wigeonspindle.Rules) *fleet {
 	t.Helper()
-	return newFleetAt(t, systemClock{}, hosts, shards, rules)
+	return newFleetAt(t, systemClock{}, wigeonspindle.CoverageFirst, hosts, shards, rules)
 }
 
-func newFleetAt(t *testing.T, clock wigeonspindle.Clock, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+func newPreferringFleet(t testing.TB, prefer wigeonspindle.Preference, hosts, shards int, rules wigeonspindle.Rules) *fleet {
 	t.Helper()
-	index := wigeonspindle.Index{Name: "lookup", Prefer: wigeonspindle.CoverageFirst, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}}}
+	return newFleetAt(t, systemClock{}, prefer, hosts, shards, rules)
+}
+
+func newFleetAt(t testing.TB, clock wigeonspindle.Clock, prefer wigeonspindle.Preference, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+	t.Helper()
+	index := wigeonspindle.Index{Name: "lookup", Prefer: prefer, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}}}
 	for i := range shards {
 		shard := fmt.Sprintf("s%d", i)
 		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
@@ -68,7 +73,7 @@
 }
 
 // await waits until a host gives whole answers and knows all others.
-func (f *fleet) await(t *testing.T, host, shards int) {
+func (f *fleet) await(t testing.TB, host, shards int) {
 	t.Helper()
 	for range 200 {
 		answer := f.hosts[host].Query(context.Background(), query(time.Second))
@@ -89,7 +94,7 @@
 }
 
 // identity returns an identity that a host issued for itself.
-func (f *fleet) identity(t *testing.T, host int) wigeonspindle.Identity {
+func (f *fleet) identity(t testing.TB, host int) wigeonspindle.Identity {
 	t.Helper()
 	identity, err := encoder.ParseIdentity(f.hosts[host].Addresses(f.hosts[host].Settings.Domain).Identity)
 	if err != nil {
@@ -190,6 +195,7 @@
 	mutex   sync.Mutex
 	dropped map[string]int
 	sent    map[wigeonspindle.SendKind]int
+	gate    sync.RWMutex // gate stops the query loops at their next send while it is held.
 }
 
 // Answered ignores an answer.
@@ -200,6 +206,8 @@
 
 // Sent counts a send.
 func (m *meter) Sent(_ string, kind wigeonspindle.SendKind) {
+	m.gate.RLock()
+	defer m.gate.RUnlock()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.sent == nil {
@@ -214,3 +222,21 @@
 	defer m.mutex.Unlock()
 	m.dropped[ring]++
 }
+
+// count returns how many elements a kind of ring refused.
+func (m *meter) count(ring string) int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.dropped[ring]
+}
+
+// sends returns the number of sends.
+func (m *meter) sends() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	total := 0
+	for _, count := range m.sent {
+		total += count
+	}
+	return total
+}
--- a/internal/transport/launcher/forwards.go
+++ b/internal/transport/launcher/forwards.go
@@ -120,9 +120,7 @@
 	query.ID = h.nextQuery.Add(1)
 	query.Fingerprint = fingerprint(query)
 	answer := func(answer wigeonspindle.Answer) {
-		if !reply(wigeonspindle.Envelope{Forwarded: &wigeonspindle.Forwarded{Counter: forward.Counter, Answer: answer}}) {
-			h.Meter.Dropped("forwarded") // The other host answers MayHaveRun at the deadline.
-		}
+		reply(wigeonspindle.Envelope{Forwarded: &wigeonspindle.Forwarded{Counter: forward.Counter, Answer: answer}})
 	}
 	switch {
 	case query.Class != wigeonspindle.Once || query.Identity.Incarnation != h.self.Incarnation:
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -40,6 +40,7 @@
 	holder    *holder.Holder
 	view      atomic.Pointer[wigeonspindle.View]
 	ownership atomic.Pointer[wigeonspindle.Ownership]
+	excluded  atomic.Pointer[exclusions]
 	leaving   atomic.Bool
 	nextQuery atomic.Uint64
 	queries   []*queryLoop
@@ -73,6 +74,7 @@
 	h.holder = &holder.Holder{}
 	h.view.Store(&wigeonspindle.View{Self: h.self})
 	h.ownership.Store(&wigeonspindle.Ownership{})
+	h.excluded.Store(&exclusions{})
 	h.linker = &linker.Linker{
 		Self: h.self, Clock: h.Clock, Recorder: h.recorder, Handler: &linkHandler{host: h},
 		Heartbeat: h.heartbeat, Logger: h.Logger,
--- a/internal/transport/launcher/host_test.go
+++ b/internal/transport/launcher/host_test.go
@@ -131,7 +131,7 @@
 func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
 // free returns a loopback address that no listener uses.
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -11,9 +11,16 @@
 	host *Host
 }
 
-// Received routes one message.
+// Received routes one message. An answer that the link refuses is counted; the host that
+// waits for it answers MayHaveRun at its deadline.
 func (h *linkHandler) Received(message wigeonspindle.Envelope, reply wigeonspindle.Reply) {
-	h.host.route(message, reply)
+	h.host.route(message, func(answer wigeonspindle.Envelope) bool {
+		if reply(answer) {
+			return true
+		}
+		h.host.Meter.Dropped("link")
+		return false
+	})
 }
 
 // Unsent reports attempts that were never written as not run, and ends the wait for a
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -52,6 +52,7 @@
 	running    map[uint64]*runningQuery
 	timers     timers
 	picker     *router.Picker
+	excluded   *exclusions
 	estimators map[string]*hedger.Estimator
 	hedges     *hedger.Budget
 	retries    *hedger.Budget
@@ -322,13 +323,15 @@
 	return &wigeonspindle.Refusal{Code: code, Verdict: wigeonspindle.NotRun, Field: field, Message: message}
 }
 
-// configure adopts a new configuration and returns the one in force, or nil.
+// configure adopts a new configuration and new exclusions and returns the configuration in
+// force, or nil.
 func (l *queryLoop) configure() *wigeonspindle.Config {
-	config := l.host.holder.Config()
-	if config == nil || config == l.picker.Config() {
+	config, excluded := l.host.holder.Config(), l.host.excluded.Load()
+	if config == nil || config == l.picker.Config() && excluded == l.excluded {
 		return config
 	}
-	l.picker.Configure(config, nil)
+	l.excluded = excluded
+	l.picker.Configure(config, excluded.domains, excluded.targets)
 	l.hedges.Share = config.Rules.Extra
 	estimators := make(map[string]*hedger.Estimator, len(config.Indexes))
 	for _, index := range config.Indexes {
--- a/internal/transport/launcher/queries_test.go
+++ b/internal/transport/launcher/queries_test.go
@@ -198,7 +198,7 @@
 func TestIdle(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	calls := &atomic.Int64{}
-	f := newFleetAt(t, countingClock{calls}, 1, 2, wigeonspindle.Rules{})
+	f := newFleetAt(t, countingClock{calls}, wigeonspindle.CoverageFirst, 1, 2, wigeonspindle.Rules{})
 	defer f.close(f.hosts...)
 	f.await(t, 0, 2)
 	if calls.Load() == 0 {
