launcher: test verdicts while links are cut

With NotRun for attempts on a broken link, or for a lost forward, the test fails.

A cancelled attempt counts in the latency estimate only when it lost to a hedge or reached the deadline; the age at an early stop says nothing.

--- a/internal/coordination/coordinator/answer.go
+++ b/internal/coordination/coordinator/answer.go
@@ -22,7 +22,7 @@
 func (c *Coordinator) end(now time.Time, stopped bool) {
 	c.done = true
 	for i := range c.shards {
-		c.cancel(i, now)
+		c.cancel(i, now, !stopped)
 	}
 	answer := &wigeonspindle.Answer{
 		ID: c.Query.ID, Trace: c.Query.Trace, Verdict: wigeonspindle.Ran, Attempts: c.attempts, Hedges: c.hedges,
--- a/internal/coordination/coordinator/attempts.go
+++ b/internal/coordination/coordinator/attempts.go
@@ -105,7 +105,7 @@
 	c.answered++
 	c.open--
 	if s.running > 0 {
-		c.cancel(f.shard, now)
+		c.cancel(f.shard, now, true)
 	}
 	if c.held {
 		c.free(now)
@@ -192,22 +192,24 @@
 	}
 	c.event(wigeonspindle.EventRestarted, "", "", 0, c.excluded+" to "+next.Version)
 	for i := range c.shards {
-		c.cancel(i, now)
+		c.cancel(i, now, false)
 	}
 	c.generation++
 	c.begin(next, now)
 	return true
 }
 
-// cancel withdraws the attempts of a shard. They may have run.
-func (c *Coordinator) cancel(i int, now time.Time) {
+// cancel withdraws the attempts of a shard. They may have run. The age of a loser, or of an
+// attempt at the deadline, is the least that it would have taken; without it these would be
+// missing from the estimate.
+func (c *Coordinator) cancel(i int, now time.Time, measured bool) {
 	s := &c.shards[i]
 	for _, counter := range s.flights[:s.running] {
 		f := c.running[counter]
 		delete(c.running, counter)
-		// The age of a loser is the least that it would have taken; without it the losers of
-		// hedges would be missing from the estimate.
-		c.Estimator.Observe(now.Sub(f.sent), now)
+		if measured {
+			c.Estimator.Observe(now.Sub(f.sent), now)
+		}
 		id := wigeonspindle.AttemptID{Entry: c.entry, Counter: counter}
 		c.actions = append(c.actions, Action{Cancel: &wigeonspindle.Cancel{ID: id, Target: f.target}})
 		c.ran(s, wigeonspindle.MayHaveRun)
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -1,6 +1,7 @@
 package launcher_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,43 +22,57 @@
 // the hosts are real.
 type fleet struct {
 	hosts   []*launcher.Host
+	links   []*proxy // links are in front of the hosts' link listeners.
 	targets *targets
 	meter   *meter
+	stopped int
 }
 
-// newFleet starts hosts over one index with the given shards, two replicas each, and waits
-// until all of them answer.
-func newFleet(t testing.TB, hosts, shards int, rules wigeonspindle.Rules) *fleet {
-	t.Helper()
-	return newFleetAt(t, systemClock{}, wigeonspindle.CoverageFirst, hosts, shards, rules)
+// setup describes a fleet with one index. Each shard has two replicas.
+type setup struct {
+	hosts, shards int
+	rules         wigeonspindle.Rules
+	clock         wigeonspindle.Clock                      // clock is the system's when nil.
+	prefer        wigeonspindle.Preference                 // prefer is coverage when empty.
+	place         func(shard, replica int) (domain string) // place puts one replica in each of "a" and "b" when nil.
 }
 
-func newPreferringFleet(t testing.TB, prefer wigeonspindle.Preference, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+func newFleet(t testing.TB, hosts, shards int, rules wigeonspindle.Rules) *fleet {
 	t.Helper()
-	return newFleetAt(t, systemClock{}, prefer, hosts, shards, rules)
+	return setup{hosts: hosts, shards: shards, rules: rules}.start(t)
 }
 
-func newFleetAt(t testing.TB, clock wigeonspindle.Clock, prefer wigeonspindle.Preference, hosts, shards int, rules wigeonspindle.Rules) *fleet {
+// start starts the hosts and waits until all of them answer.
+func (s setup) start(t testing.TB) *fleet {
 	t.Helper()
-	index := wigeonspindle.Index{Name: "lookup", Prefer: prefer, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}}}
-	for i := range shards {
+	if s.clock == nil {
+		s.clock = systemClock{}
+	}
+	if s.place == nil {
+		s.place = func(_, replica int) string { return string(rune('a' + replica)) }
+	}
+	index := wigeonspindle.Index{
+		Name: "lookup", Prefer: cmp.Or(s.prefer, wigeonspindle.CoverageFirst), Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}},
+	}
+	for i := range s.shards {
 		shard := fmt.Sprintf("s%d", i)
 		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
-		for _, domain := range []string{"a", "b"} {
+		for j := range 2 {
 			index.Targets = append(index.Targets, wigeonspindle.Target{
-				Name: shard + domain, Address: "127.0.0.1:1", Domain: domain, Shards: []string{shard},
+				Name: fmt.Sprintf("%s-%d", shard, j), Address: "127.0.0.1:1", Domain: s.place(i, j), Shards: []string{shard},
 				Slots: 8, Connections: 50, Floor: 1000,
 			})
 		}
 	}
 	f := &fleet{targets: &targets{runs: make(map[string]int)}, meter: &meter{dropped: make(map[string]int)}}
-	store := &memory{config: wigeonspindle.Config{Revision: 1, Rules: rules, Indexes: []wigeonspindle.Index{index}}}
-	for i := range hosts {
+	store := &memory{config: wigeonspindle.Config{Revision: 1, Rules: s.rules, Indexes: []wigeonspindle.Index{index}}}
+	for i := range s.hosts {
 		domain := string(rune('a' + i))
 		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2}
-		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
+		f.links = append(f.links, newProxy(t, settings.Link))
+		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: f.links[i].listener.Addr().String()})
 		f.hosts = append(f.hosts, &launcher.Host{
-			Settings: settings, Clock: clock, Logger: log.New(io.Discard), Store: store, Lister: store,
+			Settings: settings, Clock: s.clock, Logger: log.New(io.Discard), Store: store, Lister: store,
 			Sender: f.targets, Meter: f.meter,
 		})
 	}
@@ -67,7 +82,7 @@
 		}
 	}
 	for i := range f.hosts {
-		f.await(t, i, shards)
+		f.await(t, i, s.shards)
 	}
 	return f
 }
@@ -85,12 +100,18 @@
 	t.Fatalf("host %d gave no whole answer", host)
 }
 
+// close stops hosts at once, and the links once all hosts are stopped.
 func (f *fleet) close(hosts ...*launcher.Host) {
 	stopped, cancel := context.WithCancel(context.Background())
 	cancel()
 	for _, host := range hosts {
 		_ = host.Close(stopped)
 	}
+	if f.stopped += len(hosts); f.stopped == len(f.hosts) {
+		for _, link := range f.links {
+			link.close()
+		}
+	}
 }
 
 // identity returns an identity that a host issued for itself.
@@ -120,8 +141,7 @@
 type targets struct {
 	mutex sync.Mutex
 	run   func(ctx context.Context, attempt wigeonspindle.Attempt, outcome *wigeonspindle.Outcome)
-	runs  map[string]int
-	alone int
+	runs  map[string]int // runs is keyed by the nonce of a once request or by the body.
 }
 
 // script sets what the targets do. It returns after no earlier script is used for new work.
@@ -131,11 +151,11 @@
 	s.run = run
 }
 
-// count returns how often an identity ran.
-func (s *targets) count(identity wigeonspindle.Identity) int {
+// count returns how often the request with a nonce, or else with a body, ran.
+func (s *targets) count(key string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.runs[identity.Nonce]
+	return s.runs[key]
 }
 
 // Send runs an attempt.
@@ -153,10 +173,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if outcome.Verdict != wigeonspindle.NotRun {
-		s.runs[attempt.Identity.Nonce]++
-	}
-	if attempt.Alone {
-		s.alone++
+		s.runs[cmp.Or(attempt.Identity.Nonce, string(attempt.Body))]++
 	}
 	return outcome
 }
--- /dev/null
+++ b/internal/transport/launcher/links_test.go
@@ -0,0 +1,151 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// proxy passes the bytes of links on and cuts them on demand.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	conns    []net.Conn
+	waiting  sync.WaitGroup
+}
+
+func newProxy(t testing.TB, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, target: target}
+	p.waiting.Go(p.accept)
+	return p
+}
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		p.mutex.Lock()
+		p.conns = append(p.conns, near, far)
+		p.mutex.Unlock()
+		p.waiting.Go(func() { p.copy(near, far) })
+		p.waiting.Go(func() { p.copy(far, near) })
+	}
+}
+
+func (p *proxy) copy(to, from net.Conn) {
+	_, _ = io.Copy(to, from)
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// cut breaks all connections, with the bytes that are under way.
+func (p *proxy) cut() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	p.conns = nil
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.cut()
+	p.waiting.Wait()
+}
+
+// TestCutLinks guards against a false verdict when links break at any moment: a request
+// reported as not run that ran, a once request that ran twice, or one reported as run that
+// did not.
+func TestCutLinks(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	f := setup{
+		hosts: 2, shards: 4, rules: wigeonspindle.Rules{Lifetime: wigeonspindle.Duration(time.Minute)},
+		// All replicas of a shard are in one domain, so that half of the attempts cross a link.
+		place: func(shard, _ int) string { return string(rune('a' + shard%4/2)) },
+	}.start(t)
+	defer f.close(f.hosts...)
+	f.targets.script(func(ctx context.Context, _ wigeonspindle.Attempt, outcome *wigeonspindle.Outcome) {
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			outcome.Verdict, outcome.Code = wigeonspindle.MayHaveRun, wigeonspindle.CodeCancelled
+		}
+	})
+	ids := []wigeonspindle.Identity{f.identity(t, 0), f.identity(t, 1)}
+	verdicts := make(map[string]wigeonspindle.Verdict)
+	var mutex sync.Mutex
+	var waiting sync.WaitGroup
+	for worker := range 16 {
+		waiting.Go(func() {
+			for i := range 40 {
+				request := query(300 * time.Millisecond)
+				request.Body = fmt.Appendf(nil, "%d-%d", worker, i)
+				key := string(request.Body)
+				if i%2 == 0 {
+					identity := ids[worker%2]
+					identity.Nonce = key
+					request.Class, request.Identity, request.Shards = wigeonspindle.Once, identity, []string{fmt.Sprint("s", i%4)}
+				}
+				answer := f.hosts[worker/2%2].Query(context.Background(), request)
+				mutex.Lock()
+				verdicts[key] = answer.Verdict
+				mutex.Unlock()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		waiting.Wait()
+		close(done)
+	}()
+	random := rand.New(rand.NewPCG(1, 1))
+	for cutting := true; cutting; {
+		select {
+		case <-done:
+			cutting = false
+		case <-time.After(time.Duration(20+random.IntN(60)) * time.Millisecond):
+			f.links[random.IntN(2)].cut()
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // Attempts under way end.
+	counts := make(map[wigeonspindle.Verdict]int)
+	for key, verdict := range verdicts {
+		counts[verdict]++
+		runs := f.targets.count(key)
+		if verdict == wigeonspindle.NotRun && runs > 0 || verdict == wigeonspindle.Ran && runs == 0 {
+			t.Errorf("request %s: got verdict %s with %d runs", key, verdict, runs)
+		}
+	}
+	for worker := range 16 {
+		for i := 0; i < 40; i += 2 {
+			if got := f.targets.count(fmt.Sprintf("%d-%d", worker, i)); got > 1 {
+				t.Errorf("once request %d-%d: got %d runs, want at most 1", worker, i, got)
+			}
+		}
+	}
+	t.Logf("verdicts of %d requests: %v", len(verdicts), counts)
+}
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -184,6 +184,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, input.query.Deadline.Sub(l.host.Clock.Now()))
 	defer cancel()
+	go func() {
+		select {
+		case <-l.host.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return l.queries.Put(input, ctx.Done())
 }
 
--- a/internal/transport/launcher/queries_bench_test.go
+++ b/internal/transport/launcher/queries_bench_test.go
@@ -39,7 +39,7 @@
 	for _, prefer := range []wigeonspindle.Preference{wigeonspindle.CoverageFirst, wigeonspindle.TailFirst} {
 		for _, extra := range []float64{0, 0.05} {
 			b.Run(fmt.Sprintf("%s/extra=%.2f", prefer, extra), func(b *testing.B) {
-				f := newPreferringFleet(b, prefer, 1, 8, wigeonspindle.Rules{Extra: extra, Soft: 1})
+				f := setup{hosts: 1, shards: 8, prefer: prefer, rules: wigeonspindle.Rules{Extra: extra, Soft: 1}}.start(b)
 				defer f.close(f.hosts...)
 				f.targets.script(straggle)
 				var mutex sync.Mutex
--- a/internal/transport/launcher/queries_test.go
+++ b/internal/transport/launcher/queries_test.go
@@ -26,12 +26,12 @@
 	}
 	// A cancelled run is counted when it ends, which may be after the answer.
 	for range 100 {
-		if f.targets.count(identity) >= runs {
+		if f.targets.count(identity.Nonce) >= runs {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if got := f.targets.count(identity); got != runs {
+	if got := f.targets.count(identity.Nonce); got != runs {
 		t.Errorf("%s: got %d runs, want %d", name, got, runs)
 	}
 }
@@ -198,7 +198,7 @@
 func TestIdle(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	calls := &atomic.Int64{}
-	f := newFleetAt(t, countingClock{calls}, wigeonspindle.CoverageFirst, 1, 2, wigeonspindle.Rules{})
+	f := setup{hosts: 1, shards: 2, clock: countingClock{calls}}.start(t)
 	defer f.close(f.hosts...)
 	f.await(t, 0, 2)
 	if calls.Load() == 0 {
--- a/internal/transport/launcher/rings_test.go
+++ b/internal/transport/launcher/rings_test.go
@@ -20,7 +20,7 @@
 	defer goleak.VerifyNone(t)
 	f := newFleet(t, 1, 1, wigeonspindle.Rules{})
 	defer f.close(f.hosts...)
-	before := f.targets.count(wigeonspindle.Identity{})
+	before := f.targets.count("wool")
 	f.meter.gate.Lock()
 	const queries = 9000 // Both loops hold 2 rings of 4096 and take one query each.
 	var waiting sync.WaitGroup
@@ -52,7 +52,7 @@
 	if got, want := refused.Load(), int32(queries-2*4097); got != want || other.Load() != 0 {
 		t.Errorf("refused as not run: got %d and %d others, want %d and 0", got, other.Load(), want)
 	}
-	if got, want := f.targets.count(wigeonspindle.Identity{})-before, int(answered.Load()); got != want {
+	if got, want := f.targets.count("wool")-before, int(answered.Load()); got != want {
 		t.Errorf("runs: got %d, want %d, one for each answered query", got, want)
 	}
 	if got, want := f.meter.count("queries"), int(refused.Load())+1; got != want {
@@ -81,7 +81,7 @@
 	defer goleak.VerifyNone(t)
 	gate := &sync.RWMutex{}
 	const shards, queries = 100, 100 // 5000 outcomes for each loop's ring of 4096.
-	f := newFleetAt(t, gateClock{gate}, wigeonspindle.CoverageFirst, 1, shards, wigeonspindle.Rules{})
+	f := setup{hosts: 1, shards: shards, clock: gateClock{gate}}.start(t)
 	defer f.close(f.hosts...)
 	release := make(chan struct{})
 	f.targets.script(func(context.Context, wigeonspindle.Attempt, *wigeonspindle.Outcome) { <-release })
--- a/internal/transport/launcher/suspicions.go
+++ b/internal/transport/launcher/suspicions.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"fmt"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -34,7 +35,9 @@
 	if l.quarantiner.State(entry.Fingerprint, now) != quarantiner.Quarantined {
 		return
 	}
-	l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventQuarantine, Target: entry.Target})
+	l.host.recorder.Record(wigeonspindle.Event{
+		Kind: wigeonspindle.EventQuarantine, Target: entry.Target, Detail: fmt.Sprintf("fingerprint %016x", entry.Fingerprint),
+	})
 	for _, running := range l.running {
 		if running.query.Fingerprint == entry.Fingerprint {
 			l.act(running, running.coordinator.Stop(wigeonspindle.CodeQuarantined, "the request has crashed targets", now))
