launcher, linker: membership, relay, domains, planned stop, administration

The control loop runs the detector, the relayer and the overrides and publishes the view, the placement (what receives no new work) and the heartbeat's content. Two hosts per domain watch the store's head; the others pull deltas. Host implements Administration. SetDomain spreads an override first and then writes the store, so a slow store does not delay it; watchers write overrides that an outage kept back. A planned stop keeps serving for DrainDelay, refuses for 1 s with the current list and then closes; Close ends with its context, also a stop that Drain began. Address answers come from the balancer with an identity.

Links: a write that a silent connection does not take fails after 1.5 s, accepted connections end after 3 s of silence, accepted connections and links are bounded, refused connections are reported to the detector, redials back off to 1 s.

The store key config of the first path is replaced by head and index documents. Smallest changes outside: target loops refuse and query loops avoid targets that the placement closes, server ends requests when its context ends and answers a leaving refusal with Connection: close, commander stops when drained.

--- a/administration.go
+++ b/administration.go
@@ -38,7 +38,9 @@
 	Overrides []Override     `json:"overrides,omitempty"`
 	Rings     []RingStatus   `json:"rings"`
 	StoreSeen time.Time      `json:"storeseen"` // StoreSeen is when the store last answered.
-	Queries   int            `json:"queries"`   // Queries is the number of queries in progress.
+	// StoreCalls is the number of calls that the host made to the store.
+	StoreCalls uint64 `json:"storecalls"`
+	Queries    int    `json:"queries"` // Queries is the number of queries in progress.
 }
 
 // TargetStatus is the state of a target that the host owns.
--- a/document.go
+++ b/document.go
@@ -55,7 +55,7 @@
 // Placement lists what receives no new work. It is immutable once published.
 type Placement struct {
 	Out   map[string]bool // Out holds the failure domains that are out of service.
-	Drops map[string]bool // Drops holds the names of targets that are leaving.
+	Drops map[string]bool // Drops holds the names of targets that hosts saw leaving.
 }
 
 // Open reports whether the target may receive new work. A nil placement admits all.
--- a/internal/coordination/relayer/overrides.go
+++ b/internal/coordination/relayer/overrides.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// Place returns what receives no new work.
+// Place returns what receives no new work. Targets that the inventory marks as leaving are
+// not listed, because their own mark closes them.
 func (o *Overrides) Place(config *wigeonspindle.Config) *wigeonspindle.Placement {
 	placement := &wigeonspindle.Placement{Out: make(map[string]bool), Drops: make(map[string]bool)}
 	if config != nil {
@@ -127,13 +128,6 @@
 				placement.Out[domain.Name] = true
 			}
 		}
-		for _, index := range config.Indexes {
-			for _, target := range index.Targets {
-				if target.Leaving {
-					placement.Drops[target.Name] = true
-				}
-			}
-		}
 	}
 	for _, override := range o.entries {
 		delete(placement.Out, override.Domain)
--- a/internal/transport/commander/run.go
+++ b/internal/transport/commander/run.go
@@ -50,7 +50,10 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case <-signals:
+	case <-host.Done(): // An operator drained the host.
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	go func() {
--- /dev/null
+++ b/internal/transport/launcher/administration.go
@@ -0,0 +1,186 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/relayer"
+)
+
+// domainTimeout bounds how long an operator waits for the store when a domain changes. The
+// change is in force as an override before.
+const domainTimeout = 3 * time.Second
+
+// Config returns the configuration in force, or nil before the first one arrived.
+func (h *Host) Config() *wigeonspindle.Config { return h.holder.Config() }
+
+// Placement returns what receives no new work.
+func (h *Host) Placement() *wigeonspindle.Placement { return h.placement.Load() }
+
+// Status returns the state of the host.
+func (h *Host) Status() wigeonspindle.Status {
+	view := h.view.Load()
+	status := wigeonspindle.Status{
+		Host: h.self, Revision: h.holder.Revision(), Leaving: h.leaving.Load(), Members: view.Members,
+		Overrides: h.news.Load().Overrides, Queries: int(h.inflight.Load()), StoreCalls: h.storeCalls.Load(),
+	}
+	if seen := h.storeSeen.Load(); seen != 0 {
+		status.StoreSeen = time.Unix(0, seen)
+	}
+	switch {
+	case status.Leaving:
+		status.Reason = "the host is leaving"
+	case status.Revision == 0:
+		status.Reason = "no configuration is known yet"
+	default:
+		status.Ready = true
+	}
+	if status.Ready && h.placement.Load().Out[h.self.Domain] {
+		status.Reason = "the host's failure domain is out of service"
+	}
+	status.Targets = h.ownTargets()
+	status.Rings = h.rings()
+	return status
+}
+
+func (h *Host) ownTargets() []wigeonspindle.TargetStatus {
+	var targets []wigeonspindle.TargetStatus
+	config := h.holder.Config()
+	if config == nil {
+		return nil
+	}
+	owners := h.ownership.Load().Owners
+	for _, index := range config.Indexes {
+		for _, target := range index.Targets {
+			if owner, ok := owners[target.Name]; ok && owner.Name == h.self.Name {
+				targets = append(targets, wigeonspindle.TargetStatus{Target: target.Name, Domain: target.Domain})
+			}
+		}
+	}
+	return targets
+}
+
+func (h *Host) rings() []wigeonspindle.RingStatus {
+	rings := []wigeonspindle.RingStatus{
+		{Ring: "control", Waiting: h.control.inputs.Len(), Capacity: h.control.inputs.Cap()},
+		{Ring: "leases", Waiting: h.leases.inputs.Len(), Capacity: h.leases.inputs.Cap()},
+	}
+	for i, loop := range h.queries {
+		rings = append(rings,
+			wigeonspindle.RingStatus{Ring: fmt.Sprintf("queries%d", i), Waiting: loop.queries.Len(), Capacity: loop.queries.Cap()},
+			wigeonspindle.RingStatus{Ring: fmt.Sprintf("outcomes%d", i), Waiting: loop.outcomes.Len(), Capacity: loop.outcomes.Cap()})
+	}
+	for i, loop := range h.targets {
+		rings = append(rings,
+			wigeonspindle.RingStatus{Ring: fmt.Sprintf("attempts%d", i), Waiting: loop.inputs.Len(), Capacity: loop.inputs.Cap()})
+	}
+	return rings
+}
+
+// Events returns the events of the time line that match, the oldest first.
+func (h *Host) Events(filter wigeonspindle.EventFilter) []wigeonspindle.Event {
+	return slices.DeleteFunc(h.recorder.Events(), func(event wigeonspindle.Event) bool {
+		wall := event.Stamp.Wall
+		return filter.Trace != "" && event.Trace != filter.Trace ||
+			filter.Target != "" && event.Target != filter.Target ||
+			!filter.Since.IsZero() && wall.Before(filter.Since) ||
+			!filter.Until.IsZero() && !wall.Before(filter.Until)
+	})
+}
+
+// Propose validates a change and, unless dry, writes it.
+func (h *Host) Propose(ctx context.Context, change wigeonspindle.Change, dry bool) (wigeonspindle.Entry, error) {
+	if change.Identity == "" {
+		change.Identity = string(NewIncarnation())
+	}
+	proposal := committer.Proposal{
+		Change: change, Known: h.holder.Config(), Stamp: h.recorder.Stamp(), Now: h.Clock.Now(),
+	}
+	if dry {
+		return h.check(ctx, proposal)
+	}
+	entry, config, err := h.committer.Commit(ctx, proposal)
+	if err != nil {
+		return entry, err
+	}
+	h.control.inputs.Offer(controlInput{config: &config})
+	return entry, nil
+}
+
+// check validates against the store or, while it is unavailable, against what is in force.
+func (h *Host) check(ctx context.Context, proposal committer.Proposal) (wigeonspindle.Entry, error) {
+	var base wigeonspindle.Config
+	current, err := h.committer.Load(ctx, proposal.Known)
+	switch {
+	case err == nil:
+		base = current.Config
+	case proposal.Known != nil:
+		base = *proposal.Known
+	}
+	entry, refusal := h.committer.Check(base, proposal)
+	if refusal != nil {
+		return entry, refusal
+	}
+	return entry, nil
+}
+
+// History returns the latest accepted changes, the newest first.
+func (h *Host) History(ctx context.Context) ([]wigeonspindle.Entry, error) {
+	return h.committer.History(ctx)
+}
+
+// SetDomain takes a failure domain out of service or brings it back. The change is spread
+// as an override first, so that it is in force within a heartbeat however long the store
+// takes, and then written to the store.
+func (h *Host) SetDomain(ctx context.Context, domain string, out bool, author string) (bool, error) {
+	config := h.holder.Config()
+	known := func(d wigeonspindle.Domain) bool { return d.Name == domain }
+	if config != nil && !slices.ContainsFunc(config.Domains, known) {
+		return false, &wigeonspindle.Refusal{
+			Code: wigeonspindle.CodeInvalid, Verdict: wigeonspindle.NotRun, Field: "domain",
+			Message: fmt.Sprintf("got %q, accepted: a name in domains", domain),
+		}
+	}
+	now := h.Clock.Now()
+	override := wigeonspindle.Override{
+		Domain: domain, Out: out, Stamp: h.recorder.Stamp(), Author: author, Expires: now.Add(relayer.OverrideLifetime),
+	}
+	if !h.control.inputs.Offer(controlInput{override: &override}) {
+		return false, &wigeonspindle.Refusal{
+			Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: "the host is saturated",
+		}
+	}
+	for _, member := range h.view.Load().Members {
+		if member.Host.Name != h.self.Name {
+			h.send(member.Host.Name, wigeonspindle.Envelope{Override: &override})
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, domainTimeout)
+	defer cancel()
+	written, err := h.committer.SetDomain(ctx, committer.Proposal{
+		Change: wigeonspindle.Change{Identity: string(NewIncarnation()), Author: author, Reason: "failure domain " + domain},
+		Known:  config, Stamp: override.Stamp, Now: now,
+	}, domain, out)
+	if err == nil {
+		h.control.inputs.Offer(controlInput{config: &written})
+		return false, nil
+	}
+	var refusal *wigeonspindle.Refusal
+	if errors.As(err, &refusal) && refusal.Code == wigeonspindle.CodeInvalid {
+		return false, err
+	}
+	h.Logger.Warn("domain changed by override only", "domain", domain, "error", err)
+	return true, nil
+}
+
+// reportTarget notes whether a target said that it drains. A target that drains receives no
+// new work from any host of the cell.
+func (h *Host) reportTarget(target string, leaving bool) {
+	h.control.inputs.Offer(controlInput{target: &targetReport{target: target, leaving: leaving}})
+}
--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -2,46 +2,68 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/detector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/relayer"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
 const (
 	controlSize   = 1024
 	controlPeriod = 100 * time.Millisecond
-	pollPeriod    = time.Second
-	storeRetry    = 500 * time.Millisecond
-	watchTimeout  = 30 * time.Second
+	// dialPeriod is how often the set of links is decided.
+	dialPeriod = 500 * time.Millisecond
+	// settlePeriod is how often an override that the store does not hold is written.
+	settlePeriod = 2 * time.Second
+	// reportPeriod is how long a target's own notice that it drains is passed on.
+	reportPeriod = 30 * time.Second
 )
 
-// ConfigKey is the store's key of the configuration.
-const ConfigKey = "config"
-
 // controlLoop is the duty that decides on membership and configuration.
 type controlLoop struct {
-	host    *Host
-	inputs  *queuer.Ring[controlInput]
-	members map[string]wigeonspindle.Member
-	linked  map[string]wigeonspindle.Host
+	host      *Host
+	inputs    *queuer.Ring[controlInput]
+	unsettled *queuer.Ring[[]wigeonspindle.Override]
+
+	detector  *detector.Detector
+	relayer   *relayer.Relayer
+	overrides *relayer.Overrides
+	reports   map[string]time.Time // reports holds until when this host reports a target as leaving.
+	unwatch   context.CancelFunc   // unwatch ends the store watch; nil while this host does not watch.
+	dialled   time.Time
+	settled   time.Time
+	outSince  time.Time
 }
 
-// controlInput is a message of another host or news from the platform.
+// controlInput is a message of another host or news from a duty. Exactly one field besides
+// reply is set.
 type controlInput struct {
 	message  wigeonspindle.Envelope
 	reply    wigeonspindle.Reply
-	listings []wigeonspindle.Listing
+	listings *[]wigeonspindle.Listing
 	config   *wigeonspindle.Config
+	override *wigeonspindle.Override
+	target   *targetReport
+	refused  string // refused names a host whose address refused a connection.
+	leave    bool
+}
+
+// targetReport says whether a target drains.
+type targetReport struct {
+	target  string
+	leaving bool
 }
 
 func newControlLoop(host *Host) *controlLoop {
 	return &controlLoop{
 		host: host, inputs: queuer.New[controlInput](controlSize),
-		members: make(map[string]wigeonspindle.Member), linked: make(map[string]wigeonspindle.Host),
+		unsettled: queuer.New[[]wigeonspindle.Override](1),
+		detector:  &detector.Detector{Self: host.self},
+		relayer:   &relayer.Relayer{Self: host.self, Started: host.Clock.Now()},
+		overrides: &relayer.Overrides{},
+		reports:   make(map[string]time.Time),
 	}
 }
 
@@ -51,99 +73,174 @@
 	for {
 		select {
 		case <-l.host.stop:
+			l.elect(false)
 			return
 		case input := <-l.inputs.C():
-			l.input(input)
+			l.input(input, l.host.Clock.Now())
 		case <-ticker.C:
-			l.tick()
+			l.tick(l.host.Clock.Now())
 		}
 	}
 }
 
-func (l *controlLoop) input(input controlInput) {
+func (l *controlLoop) input(input controlInput, now time.Time) {
 	switch {
-	case input.message.Heartbeat != nil:
-		heartbeat := input.message.Heartbeat
-		member := wigeonspindle.Member{Host: heartbeat.Host, Condition: wigeonspindle.Live, Heard: l.host.Clock.Now()}
-		if heartbeat.Leaving {
-			member.Condition = wigeonspindle.Leaving
-		}
-		l.members[heartbeat.Host.Name] = member
 	case input.listings != nil:
-		l.connect(input.listings)
+		l.detector.Listed(*input.listings)
+		l.listed(*input.listings, now)
 	case input.config != nil:
 		if l.host.holder.Offer(input.config) {
-			l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventConfigured, Revision: input.config.Revision})
+			l.configured()
+		}
+	case input.override != nil:
+		l.override(*input.override, now)
+	case input.target != nil:
+		delete(l.reports, input.target.target)
+		if input.target.leaving {
+			l.reports[input.target.target] = now.Add(reportPeriod)
 		}
+	case input.refused != "":
+		l.detector.Refused(input.refused)
+	case input.leave:
+		l.detector.Leave()
+		l.tick(now)
+	default:
+		l.message(input.message, input.reply, now)
 	}
 }
 
-func (l *controlLoop) connect(listings []wigeonspindle.Listing) {
-	var hosts []wigeonspindle.Host
-	for _, listing := range listings {
-		hosts = append(hosts, wigeonspindle.Host{Name: listing.Name, Link: listing.Link})
+func (l *controlLoop) message(message wigeonspindle.Envelope, reply wigeonspindle.Reply, now time.Time) {
+	switch {
+	case message.Heartbeat != nil:
+		l.heartbeat(*message.Heartbeat, message.Stamp, now)
+	case message.Pull != nil:
+		if delta, ok := l.host.holder.Delta(message.Pull.After); ok && reply != nil {
+			reply(wigeonspindle.Envelope{Delta: &delta})
+		}
+	case message.Delta != nil:
+		l.relayer.Answered()
+		if l.host.holder.Apply(*message.Delta) {
+			l.configured()
+		}
+	case message.Override != nil:
+		l.override(*message.Override, now)
 	}
-	l.host.linker.Connect(hosts)
 }
 
-func (l *controlLoop) tick() {
-	now := l.host.Clock.Now()
-	l.members[l.host.self.Name] = wigeonspindle.Member{Host: l.host.self, Condition: wigeonspindle.Live, Heard: now}
-	view := &wigeonspindle.View{Self: l.host.self}
-	for name, member := range l.members {
-		if now.Sub(member.Heard) > wigeonspindle.SilenceLimit {
-			member.Condition = wigeonspindle.Suspect
-			l.members[name] = member
-		}
-		view.Members = append(view.Members, member)
+func (l *controlLoop) heartbeat(heartbeat wigeonspindle.Heartbeat, stamp wigeonspindle.Stamp, now time.Time) {
+	if !l.detector.Heard(heartbeat, stamp, now) {
+		return
 	}
-	slices.SortFunc(view.Members, func(a, b wigeonspindle.Member) int { return strings.Compare(a.Host.Name, b.Host.Name) })
-	l.host.view.Store(view)
+	l.relayer.Heard(heartbeat.Host.Name, heartbeat.Revision)
+	for _, override := range heartbeat.Overrides {
+		l.override(override, now)
+	}
+	l.overrides.Drop(heartbeat.Drops, now)
 }
 
-// poll is the duty that reads the host list.
-func (l *controlLoop) poll() {
-	for {
-		listings, err := l.host.Lister.List(context.Background())
-		if err != nil {
-			l.host.Logger.Warn("host list not read", "error", err)
-		} else {
-			l.inputs.Offer(controlInput{listings: listings})
-		}
-		select {
-		case <-l.host.stop:
-			return
-		case <-time.After(pollPeriod):
+// override takes an override over when it is the latest of its domain.
+func (l *controlLoop) override(override wigeonspindle.Override, now time.Time) {
+	config := l.host.holder.Config()
+	if !l.overrides.Merge(override, config, now) {
+		return
+	}
+	detail := "brought back by override"
+	if override.Out {
+		detail = "taken out by override"
+	}
+	l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventDomain, Domain: override.Domain, Detail: detail})
+	l.place(now)
+	l.beat(now)
+}
+
+// listed notes the targets that the platform's list marks as leaving.
+func (l *controlLoop) listed(listings []wigeonspindle.Listing, now time.Time) {
+	var leaving []string
+	for _, listing := range listings {
+		if listing.Leaving && listing.Link == "" {
+			leaving = append(leaving, listing.Name)
 		}
 	}
+	l.overrides.Drop(leaving, now)
+}
+
+// configured acts on a configuration that came into force.
+func (l *controlLoop) configured() {
+	l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventConfigured, Revision: l.host.holder.Revision()})
+	now := l.host.Clock.Now()
+	l.overrides.Expire(l.host.holder.Config(), now)
+	l.place(now)
+	l.beat(now)
 }
 
-// watch is the duty that waits for new configurations in the store.
-func (l *controlLoop) watch() {
-	var version uint64
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-l.host.stop
-		cancel()
-	}()
-	for ctx.Err() == nil {
-		watching, done := context.WithTimeout(ctx, watchTimeout)
-		record, err := l.host.Store.Watch(watching, ConfigKey, version)
-		done()
-		var config wigeonspindle.Config
-		if err == nil {
-			err = json.Unmarshal(record.Value, &config)
+func (l *controlLoop) tick(now time.Time) {
+	for _, change := range l.detector.Tick(now) {
+		l.host.recorder.Record(wigeonspindle.Event{
+			Kind: wigeonspindle.EventMember, Peer: change.Host.Name, Detail: string(change.Before) + " to " + string(change.After),
+		})
+	}
+	view := l.detector.View(now)
+	l.host.view.Store(view)
+	l.relayer.Forget(view)
+	config := l.host.holder.Config()
+	l.overrides.Expire(config, now)
+	l.place(now)
+	l.beat(now)
+	if now.Sub(l.dialled) >= dialPeriod {
+		l.dialled = now
+		l.host.linker.Connect(l.detector.Dial(l.host.Settings.Peers, now))
+	}
+	if peer, ok := l.relayer.Pull(view, l.host.holder.Revision(), now); ok {
+		l.host.send(peer, wigeonspindle.Envelope{Pull: &wigeonspindle.Pull{After: l.host.holder.Revision()}})
+	}
+	l.elect(l.relayer.Watches(view, now))
+	if l.unwatch != nil && now.Sub(l.settled) >= settlePeriod {
+		l.settled = now
+		if pending := l.overrides.Pending(config); len(pending) > 0 {
+			l.unsettled.Offer(pending)
 		}
-		if err != nil {
-			l.host.Logger.Warn("store watch failed", "error", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(storeRetry):
-			}
+	}
+}
+
+// place publishes what receives no new work.
+func (l *controlLoop) place(now time.Time) {
+	for target, until := range l.reports {
+		if !now.Before(until) {
+			delete(l.reports, target)
 			continue
 		}
-		version = record.Version
-		l.inputs.Offer(controlInput{config: &config})
+		l.overrides.Drop([]string{target}, now)
+	}
+	placement := l.overrides.Place(l.host.holder.Config())
+	l.host.placement.Store(placement)
+	if !placement.Out[l.host.self.Domain] {
+		l.outSince = time.Time{}
+	} else if l.outSince.IsZero() {
+		l.outSince = now
+	}
+	// Callers' lists that name this host have expired by then.
+	l.host.outside.Store(!l.outSince.IsZero() && now.Sub(l.outSince) > wigeonspindle.AddressTTL)
+}
+
+// beat publishes the content of the next heartbeats. Only what this host saw itself is
+// reported, so that a report ends when its cause does.
+func (l *controlLoop) beat(now time.Time) {
+	news := &wigeonspindle.Heartbeat{Heard: l.detector.Fresh(now), Overrides: l.overrides.List()}
+	for target := range l.reports {
+		news.Drops = append(news.Drops, target)
+	}
+	l.host.news.Store(news)
+}
+
+// elect starts or ends the watch of the store.
+func (l *controlLoop) elect(watch bool) {
+	switch {
+	case watch && l.unwatch == nil:
+		ctx, cancel := context.WithCancel(l.host.ctx)
+		l.unwatch = cancel
+		l.host.start(func() { l.host.watch(ctx) })
+	case !watch && l.unwatch != nil:
+		l.unwatch()
+		l.unwatch = nil
 	}
 }
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -8,12 +8,14 @@
 	"encoding/hex"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/state/holder"
 	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
@@ -33,21 +35,37 @@
 	Sender   wigeonspindle.Sender
 	Logger   *log.Logger
 
-	self      wigeonspindle.Host
-	recorder  *recorder.Recorder
-	holder    *holder.Holder
-	view      atomic.Pointer[wigeonspindle.View]
-	ownership atomic.Pointer[wigeonspindle.Ownership]
-	leaving   atomic.Bool
-	nextQuery atomic.Uint64
-	queries   []*queryLoop
-	targets   []*targetLoop
-	control   *controlLoop
-	leases    *leaseLoop
-	linker    *linker.Linker
-	server    *server.Server
-	stop      chan struct{}
-	duties    sync.WaitGroup
+	self       wigeonspindle.Host
+	recorder   *recorder.Recorder
+	holder     *holder.Holder
+	committer  *committer.Committer
+	counted    wigeonspindle.Store
+	view       atomic.Pointer[wigeonspindle.View]
+	ownership  atomic.Pointer[wigeonspindle.Ownership]
+	placement  atomic.Pointer[wigeonspindle.Placement]
+	news       atomic.Pointer[wigeonspindle.Heartbeat]
+	leaving    atomic.Bool
+	refusing   atomic.Bool // refusing is set when a stopping host takes no new requests.
+	outside    atomic.Bool // outside is set when the host's domain has been out of service for long.
+	inflight   atomic.Int64
+	storeCalls atomic.Uint64
+	storeSeen  atomic.Int64
+	turn       atomic.Uint64
+	nextQuery  atomic.Uint64
+	queries    []*queryLoop
+	targets    []*targetLoop
+	control    *controlLoop
+	leases     *leaseLoop
+	linker     *linker.Linker
+	server     *server.Server
+	stop       chan struct{}
+	ctx        context.Context // ctx ends with stop.
+	cancel     context.CancelFunc
+	duties     sync.WaitGroup
+	stopping   sync.Once
+	stopped    chan struct{}
+	stopErr    error
+	hurry      context.CancelFunc // hurry ends the waits of a graceful stop.
 }
 
 // NewIncarnation returns a random incarnation.
@@ -60,14 +78,20 @@
 // Run starts the duties of the host.
 func (h *Host) Run() error {
 	h.self = h.Settings.Host(NewIncarnation())
-	h.stop = make(chan struct{})
+	h.stop, h.stopped = make(chan struct{}), make(chan struct{})
+	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.recorder = &recorder.Recorder{Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize}
 	h.holder = &holder.Holder{}
+	h.counted = countedStore{host: h}
+	h.committer = &committer.Committer{Store: h.counted, Codec: encoder.Documents{}, Validator: validator.New()}
+	h.placement.Store(&wigeonspindle.Placement{})
+	h.news.Store(&wigeonspindle.Heartbeat{})
+	h.turn.Store(newTurn())
 	h.view.Store(&wigeonspindle.View{Self: h.self})
 	h.ownership.Store(&wigeonspindle.Ownership{})
 	h.linker = &linker.Linker{
 		Self: h.self, Clock: h.Clock, Recorder: h.recorder, Handler: &linkHandler{host: h},
-		Heartbeat: h.heartbeat, Logger: h.Logger,
+		Heartbeat: h.heartbeat, Logger: h.Logger, Refused: h.refusedBy,
 	}
 	for i := range h.Settings.Workers {
 		h.queries = append(h.queries, newQueryLoop(h, i))
@@ -75,7 +99,7 @@
 	}
 	h.control = newControlLoop(h)
 	h.leases = newLeaseLoop(h)
-	h.server = &server.Server{Address: h.self.Caller, Frontend: h, Clock: h.Clock, Logger: h.Logger}
+	h.server = &server.Server{Address: h.self.Caller, Frontend: frontend{host: h}, Clock: h.Clock, Logger: h.Logger}
 	if err := h.linker.Run(); err != nil {
 		return err
 	}
@@ -85,8 +109,8 @@
 	}
 	h.start(h.control.run)
 	h.start(h.leases.run)
-	h.start(h.control.watch)
-	h.start(h.control.poll)
+	h.start(h.poll)
+	h.start(h.settle)
 	if err := h.server.Run(); err != nil {
 		return errors.CombineErrors(err, h.stopDuties())
 	}
@@ -94,22 +118,9 @@
 	return nil
 }
 
-// Close stops the host gracefully: it announces that it leaves, keeps its listener until
-// address answers that name it have expired, finishes its requests and waits for every
-// duty. It stops at once when ctx ends.
-func (h *Host) Close(ctx context.Context) error {
-	h.leaving.Store(true)
-	h.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventDrain})
-	select {
-	case <-ctx.Done():
-	case <-time.After(wigeonspindle.DrainDelay):
-	}
-	err := h.server.Close(ctx)
-	return errors.CombineErrors(err, h.stopDuties())
-}
-
 func (h *Host) stopDuties() error {
 	close(h.stop)
+	h.cancel()
 	err := h.linker.Close()
 	h.duties.Wait()
 	return err
@@ -123,25 +134,8 @@
 	}()
 }
 
-// Addresses answers a caller that asks where to connect.
-func (h *Host) Addresses(domain string) wigeonspindle.AddressAnswer {
-	answer := wigeonspindle.AddressAnswer{TTL: wigeonspindle.Duration(wigeonspindle.AddressTTL)}
-	for _, member := range h.view.Load().Members {
-		if member.Condition != wigeonspindle.Live {
-			continue
-		}
-		address := wigeonspindle.Address{
-			Address: member.Host.Caller, Domain: member.Host.Domain, Incarnation: member.Host.Incarnation,
-		}
-		if address.Domain == domain {
-			answer.Addresses = append([]wigeonspindle.Address{address}, answer.Addresses...)
-		} else {
-			answer.Addresses = append(answer.Addresses, address)
-		}
-	}
-	return answer
-}
-
 func (h *Host) heartbeat() wigeonspindle.Heartbeat {
-	return wigeonspindle.Heartbeat{Host: h.self, Leaving: h.leaving.Load(), Revision: h.holder.Revision()}
+	heartbeat := *h.news.Load()
+	heartbeat.Host, heartbeat.Leaving, heartbeat.Revision = h.self, h.leaving.Load(), h.holder.Revision()
+	return heartbeat
 }
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// refusedBy reports a host whose address refused a connection.
+func (h *Host) refusedBy(host string) { h.control.inputs.Offer(controlInput{refused: host}) }
+
 // send hands a message to a host, which may be this one. It reports false when the message
 // was not and will not be sent.
 func (h *Host) send(host string, message wigeonspindle.Envelope) bool {
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -130,7 +130,7 @@
 		if index.Name != query.Index {
 			continue
 		}
-		machine := &coordinator.Coordinator{Query: query, Index: index, Picker: l.picker, NextID: l.nextID}
+		machine := &coordinator.Coordinator{Query: query, Index: l.host.placed(index), Picker: l.picker, NextID: l.nextID}
 		l.running[query.ID] = &runningQuery{
 			coordinator: machine, answer: input.answer, sent: make(map[wigeonspindle.AttemptID]sentAttempt),
 		}
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -130,6 +130,10 @@
 		l.answer(failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeNotOwner, "the host does not own the target"), reply)
 		return
 	}
+	if !l.host.placement.Load().Open(owned.limiter.Target) {
+		l.answer(failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeLeaving, "the target receives no new work"), reply)
+		return
+	}
 	if refusal := owned.limiter.Offer(attempt, l.host.Clock.Now()); refusal != nil {
 		l.answer(failed(attempt, refusal.Verdict, refusal.Code, refusal.Message), reply)
 		return
@@ -157,6 +161,9 @@
 	if owned == nil {
 		return
 	}
+	if outcome.Code == wigeonspindle.CodeLeaving {
+		l.host.reportTarget(outcome.Target, true)
+	}
 	owned.limiter.Done(outcome, l.host.Clock.Now())
 	if cancel := owned.cancels[outcome.ID]; cancel != nil {
 		cancel()
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -31,6 +31,9 @@
 	Handler   wigeonspindle.LinkHandler
 	Heartbeat func() wigeonspindle.Heartbeat
 	Logger    *log.Logger
+	// Refused, when set, is called when the address of a host refused a connection. It must
+	// not block.
+	Refused func(host string)
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -46,7 +49,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for hosts on %s", l.Self.Link)
 	}
-	l.listener = listener
+	l.listener = &boundedListener{Listener: listener, slots: make(chan struct{}, maxAccepted)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.mutex.Lock()
 	l.peers = make(map[string]*peer)
@@ -59,7 +62,7 @@
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
-		if err := server.Serve(l.ctx, listener); err != nil && l.ctx.Err() == nil {
+		if err := server.Serve(l.ctx, l.listener); err != nil && l.ctx.Err() == nil {
 			l.Logger.Error("link listener failed", "error", err)
 		}
 	}()
@@ -90,6 +93,10 @@
 		}
 		if existing != nil {
 			existing.cancel()
+			delete(l.peers, host.Name)
+		}
+		if len(l.peers) >= maxPeers {
+			continue
 		}
 		l.peers[host.Name] = l.start(host)
 	}
@@ -137,5 +144,8 @@
 	return converter.Encode(envelope, l.Clock.Now())
 }
 
-// redialDelay is the pause between attempts to open a link.
-const redialDelay = 200 * time.Millisecond
+// Pauses between attempts to open a link.
+const (
+	redialDelay = 200 * time.Millisecond
+	redialLimit = time.Second
+)
--- /dev/null
+++ b/internal/transport/linker/linker_test.go
@@ -0,0 +1,191 @@
+package linker_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/linker"
+)
+
+// proxy forwards connections. Connections that exist when it is silenced stay open and carry
+// nothing any more; new ones work.
+type proxy struct {
+	listener net.Listener
+	to       string
+	mutex    sync.Mutex
+	silent   []*atomic.Bool
+	accepted atomic.Int64
+	conns    []net.Conn
+}
+
+func newProxy(t *testing.T, to string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, to: to}
+	go p.accept()
+	return p
+}
+
+func (p *proxy) accept() {
+	for {
+		from, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", p.to)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		p.accepted.Add(1)
+		silent := &atomic.Bool{}
+		p.mutex.Lock()
+		p.silent = append(p.silent, silent)
+		p.conns = append(p.conns, from, to)
+		p.mutex.Unlock()
+		go forward(from, to, silent)
+		go forward(to, from, silent)
+	}
+}
+
+func forward(from, to net.Conn, silent *atomic.Bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if !silent.Load() {
+				_ = to.Close()
+			}
+			return
+		}
+		if silent.Load() {
+			return // Leaves both connections open; the kernel's buffers fill.
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, silent := range p.silent {
+		silent.Store(true)
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// linkEvents notes when links go up and down.
+type linkEvents struct {
+	up, down chan time.Time
+}
+
+func (e *linkEvents) Received(wigeonspindle.Envelope, wigeonspindle.Reply) {}
+func (e *linkEvents) Unsent(string, wigeonspindle.Envelope)                {}
+func (e *linkEvents) Up(string)                                            { e.up <- time.Now() }
+func (e *linkEvents) Down(string)                                          { e.down <- time.Now() }
+
+func newLinker(t *testing.T, name string, refused func(string)) (*linker.Linker, *linkEvents) {
+	t.Helper()
+	events := &linkEvents{up: make(chan time.Time, 16), down: make(chan time.Time, 16)}
+	self := wigeonspindle.Host{Name: name, Link: free(t)}
+	l := &linker.Linker{
+		Self: self, Clock: systemClock{}, Handler: events, Logger: log.New(io.Discard), Refused: refused,
+		Recorder:  &recorder.Recorder{Clock: systemClock{}, Host: name, Size: 16},
+		Heartbeat: func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: self} },
+	}
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return l, events
+}
+
+func receive(t *testing.T, events chan time.Time, limit time.Duration, what string) time.Time {
+	t.Helper()
+	select {
+	case at := <-events:
+		return at
+	case <-time.After(limit):
+		t.Fatalf("link not %s within %s", what, limit)
+		return time.Time{}
+	}
+}
+
+// TestSilentLink guards against a link that stays silent while new connections to the same
+// host work, both when it idles and when its writer is blocked by full buffers.
+func TestSilentLink(t *testing.T) {
+	for name, load := range map[string]bool{"idle": false, "writing": true} {
+		t.Run(name, func(t *testing.T) {
+			defer goleak.VerifyNone(t)
+			a, events := newLinker(t, "a", nil)
+			b, _ := newLinker(t, "b", nil)
+			p := newProxy(t, b.Self.Link)
+			a.Connect([]wigeonspindle.Host{{Name: "b", Link: p.listener.Addr().String()}})
+			receive(t, events.up, 3*time.Second, "up")
+			p.silence()
+			silenced := time.Now()
+			if load {
+				// 64 MB exceed the buffers of the kernel.
+				body := make([]byte, 1<<20)
+				for range 64 {
+					a.Send("b", wigeonspindle.Envelope{Attempts: []wigeonspindle.Attempt{{Target: "t", Body: body}}})
+				}
+			}
+			down := receive(t, events.down, 6*time.Second, "down")
+			up := receive(t, events.up, 6*time.Second, "up again")
+			t.Logf("closed %s after the silence began, replaced after %s", down.Sub(silenced), up.Sub(silenced))
+			if got, want := down.Sub(silenced), wigeonspindle.SilenceLimit+2*wigeonspindle.HeartbeatPeriod; got > want {
+				t.Errorf("closed after %s, want at most %s", got, want)
+			}
+			p.close()
+			_ = a.Close()
+			_ = b.Close()
+		})
+	}
+}
+
+// TestRefused guards against a dead host that cannot be told apart from a frozen one: only
+// the address of a dead host refuses connections.
+func TestRefused(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	refused := make(chan string, 16)
+	a, _ := newLinker(t, "a", func(host string) { refused <- host })
+	frozen, err := net.Listen("tcp", "127.0.0.1:0") // Accepts in the kernel and never answers.
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Connect([]wigeonspindle.Host{{Name: "dead", Link: free(t)}, {Name: "frozen", Link: frozen.Addr().String()}})
+	for range 3 {
+		select {
+		case got := <-refused:
+			if got != "dead" {
+				t.Errorf("got %q refused, want only the dead host", got)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("got no refusal, want three of the dead host")
+		}
+	}
+	_ = a.Close()
+	_ = frozen.Close()
+}
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,32 +30,40 @@
 
 // keep opens the link again whenever it breaks, until ctx ends.
 func (p *peer) keep(ctx context.Context) {
+	delay := redialDelay
 	for ctx.Err() == nil {
-		err := p.connect(ctx)
+		opened, err := p.connect(ctx)
+		if delay = min(2*delay, redialLimit); opened {
+			delay = redialDelay
+		}
 		if ctx.Err() == nil && err != nil {
 			p.linker.Logger.Debug("link failed", "peer", p.host.Name, "error", err)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(delay):
 		}
 	}
 }
 
-// connect opens the stream and serves it until it breaks.
-func (p *peer) connect(ctx context.Context) error {
+// connect opens the stream and serves it until it breaks. It reports whether the address
+// accepted a connection.
+func (p *peer) connect(ctx context.Context) (bool, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", p.host.Link)
 	if err != nil {
-		return errors.Wrapf(err, "dial host %s", p.host.Name)
+		if errors.Is(err, syscall.ECONNREFUSED) && p.linker.Refused != nil {
+			p.linker.Refused(p.host.Name)
+		}
+		return false, errors.Wrapf(err, "dial host %s", p.host.Name)
 	}
-	conn := drpcconn.New(socket)
+	conn := drpcconn.New(&guardedConn{Conn: socket})
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := messenger.NewDRPCLinkClient(conn).Exchange(ctx)
 	if err != nil {
-		return errors.Wrapf(err, "open stream to host %s", p.host.Name)
+		return true, errors.Wrapf(err, "open stream to host %s", p.host.Name)
 	}
 	p.heard.Store(p.linker.Clock.Now().UnixNano())
 	done := make(chan struct{})
@@ -68,7 +77,7 @@
 	_ = conn.Close()
 	<-done
 	p.fail()
-	return err
+	return true, err
 }
 
 // read is the duty that receives answers from the host.
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -68,6 +68,9 @@
 // Close stops listening and waits for the requests in progress until ctx ends.
 func (s *Server) Close(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close() // Ends the requests that did not finish in time.
+	}
 	<-s.done
 	return errors.Wrap(err, "stop callers' listener")
 }
@@ -85,6 +88,9 @@
 	}
 	answer := s.Frontend.Query(request.Context(), query)
 	if answer.Refusal != nil {
+		if answer.Refusal.Code == wigeonspindle.CodeLeaving {
+			c.Response().Header().Set("Connection", "close")
+		}
 		return c.JSON(Status(answer.Refusal), answer)
 	}
 	return c.JSON(http.StatusOK, answer)
