--- a/internal/transport/launcher/frontend.go
+++ b/internal/transport/launcher/frontend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
@@ -33,8 +32,12 @@
 }
 
 // turnAway refuses a query that reached the host by an old address list. The refusal carries
-// the current list.
+// the current list. A once request goes on to its query loop, because only the table of
+// identities there knows whether it is a repeat of one that ran.
 func (h *Host) turnAway(query wigeonspindle.Query) (wigeonspindle.Answer, bool) {
+	if query.Class == wigeonspindle.Once {
+		return wigeonspindle.Answer{}, false
+	}
 	message := "the host has stopped serving callers"
 	if !h.refusing.Load() {
 		if !h.outside.Load() {
@@ -77,18 +80,3 @@
 // newTurn returns a random start, so that callers that ask different hosts do not all get
 // the same first address.
 func newTurn() uint64 { return rand.Uint64() }
-
-// placed returns an index in which every target that receives no new work is marked as
-// leaving. The index in the configuration is not modified.
-func (h *Host) placed(index wigeonspindle.Index) wigeonspindle.Index {
-	placement := h.placement.Load()
-	closed := func(target wigeonspindle.Target) bool { return !target.Leaving && !placement.Open(target) }
-	if !slices.ContainsFunc(index.Targets, closed) {
-		return index
-	}
-	index.Targets = slices.Clone(index.Targets)
-	for i, target := range index.Targets {
-		index.Targets[i].Leaving = !placement.Open(target)
-	}
-	return index
-}
