--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -76,11 +76,11 @@
 	// Rand draws the replicas to compare.
 	Rand *rand.Rand
 
-	config   *wigeonspindle.Config
-	replicas map[string]map[string][]*replica
-	targets  map[string]*replica
-	out      map[string]bool
-	lacks    map[lack]time.Time
+	config    *wigeonspindle.Config
+	replicas  map[string]map[string][]*replica
+	targets   map[string]*replica
+	placement *wigeonspindle.Placement
+	lacks     map[lack]time.Time
 
 	candidates, near, far []*replica
 }
@@ -96,20 +96,14 @@
 
 type lack struct{ target, version string }
 
-// Configure takes a configuration, and the failure domains and targets that are out of
-// service beyond those that it names. What is known about the targets is kept.
-func (p *Picker) Configure(config *wigeonspindle.Config, domains, targets []string) {
+// Configure takes a configuration and the placement derived from it and from what hosts saw.
+// What is known about the targets is kept.
+func (p *Picker) Configure(config *wigeonspindle.Config, placement *wigeonspindle.Placement) {
 	known := p.targets
 	p.config = config
 	p.replicas = make(map[string]map[string][]*replica, len(config.Indexes))
 	p.targets = make(map[string]*replica)
-	p.out = make(map[string]bool)
-	for _, domain := range config.Domains {
-		p.out[domain.Name] = domain.Out
-	}
-	for _, domain := range domains {
-		p.out[domain] = true
-	}
+	p.placement = placement
 	for _, index := range config.Indexes {
 		shards := make(map[string][]*replica)
 		p.replicas[index.Name] = shards
@@ -119,7 +113,6 @@
 				entry = &replica{}
 			}
 			entry.target = target
-			entry.target.Leaving = target.Leaving || slices.Contains(targets, target.Name)
 			p.targets[target.Name] = entry
 			for _, shard := range target.Shards {
 				shards[shard] = append(shards[shard], entry)
@@ -169,7 +162,7 @@
 }
 
 func (p *Picker) serves(r *replica, version string, now time.Time) bool {
-	if r.target.Leaving || p.out[r.target.Domain] {
+	if !p.placement.Open(r.target) {
 		return false
 	}
 	return len(p.lacks) == 0 || !now.Before(p.lacks[lack{r.target.Name, version}])
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -56,7 +56,7 @@
 	running    map[uint64]*runningQuery
 	timers     timers
 	picker     *router.Picker
-	excluded   *exclusions
+	placement  *wigeonspindle.Placement
 	estimators map[string]*hedger.Estimator
 	hedges     *hedger.Budget
 	retries    *hedger.Budget
@@ -293,6 +293,11 @@
 // admit prepares the state machine of a query, or refuses the query before it ran.
 func (l *queryLoop) admit(running *runningQuery) *wigeonspindle.Refusal {
 	query, now := running.query, l.host.Clock.Now()
+	if l.host.refusing.Load() {
+		refusal := notRun(wigeonspindle.CodeLeaving, "", "the host has stopped serving callers")
+		refusal.Addresses = l.host.addresses(l.host.self.Domain)
+		return refusal
+	}
 	config := l.configure()
 	if config == nil {
 		return notRun(wigeonspindle.CodeUnavailable, "", "no configuration is known yet")
@@ -334,15 +339,15 @@
 	return &wigeonspindle.Refusal{Code: code, Verdict: wigeonspindle.NotRun, Field: field, Message: message}
 }
 
-// configure adopts a new configuration and new exclusions and returns the configuration in
+// configure adopts a new configuration and a new placement and returns the configuration in
 // force, or nil.
 func (l *queryLoop) configure() *wigeonspindle.Config {
-	config, excluded := l.host.holder.Config(), l.host.excluded.Load()
-	if config == nil || config == l.picker.Config() && excluded == l.excluded {
+	config, placement := l.host.holder.Config(), l.host.placement.Load()
+	if config == nil || config == l.picker.Config() && placement == l.placement {
 		return config
 	}
-	l.excluded = excluded
-	l.picker.Configure(config, excluded.domains, excluded.targets)
+	l.placement = placement
+	l.picker.Configure(config, placement)
 	l.hedges.Share = config.Rules.Extra
 	estimators := make(map[string]*hedger.Estimator, len(config.Indexes))
 	for _, index := range config.Indexes {
