launcher: start the query tests from documents of the store

The store now holds a head and one document for each index; the test's store served one document, so that its hosts never had a configuration. The test of a full ring of outcomes stops the loop only after all attempts were sent; before, a refused attempt could stop it earlier and nothing was lost (seen once under load).

--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +12,8 @@
 	"github.com/charmbracelet/log"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
@@ -59,13 +60,14 @@
 		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
 		for j := range 2 {
 			index.Targets = append(index.Targets, wigeonspindle.Target{
-				Name: fmt.Sprintf("%s-%d", shard, j), Address: "127.0.0.1:1", Domain: s.place(i, j), Shards: []string{shard},
+				Name: fmt.Sprintf("%s-%d", shard, j), Address: fmt.Sprintf("127.0.0.1:%d", 1+2*i+j), Domain: s.place(i, j), Shards: []string{shard},
 				Slots: 8, Connections: 50, Floor: 1000,
 			})
 		}
 	}
 	f := &fleet{targets: &targets{runs: make(map[string]int)}, meter: &meter{dropped: make(map[string]int)}}
-	store := &memory{config: wigeonspindle.Config{Revision: 1, Rules: s.rules, Indexes: []wigeonspindle.Index{index}}}
+	store := &memory{records: make(map[string]wigeonspindle.Record)}
+	s.seed(t, store, index)
 	for i := range s.hosts {
 		domain := string(rune('a' + i))
 		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2}
@@ -100,6 +102,22 @@
 	t.Fatalf("host %d gave no whole answer", host)
 }
 
+// seed puts the index in force with the rules of the setup, or the default where it has none.
+func (s setup) seed(t testing.TB, store wigeonspindle.Store, index wigeonspindle.Index) {
+	t.Helper()
+	rules := validator.DefaultRules()
+	rules.Extra, rules.Canary = s.rules.Extra, s.rules.Canary
+	rules.Soft = cmp.Or(s.rules.Soft, rules.Soft)
+	rules.Lifetime, rules.Expiry = cmp.Or(s.rules.Lifetime, rules.Lifetime), cmp.Or(s.rules.Expiry, rules.Expiry)
+	change := wigeonspindle.Change{Identity: "seed", Author: "test", Config: wigeonspindle.Config{
+		Rules: rules, Domains: []wigeonspindle.Domain{{Name: "a"}, {Name: "b"}}, Indexes: []wigeonspindle.Index{index},
+	}}
+	c := &committer.Committer{Store: store, Codec: encoder.Documents{}, Validator: validator.New()}
+	if _, _, err := c.Commit(t.Context(), committer.Proposal{Change: change, Now: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // close stops hosts at once, and the links once all hosts are stopped.
 func (f *fleet) close(hosts ...*launcher.Host) {
 	stopped, cancel := context.WithCancel(context.Background())
@@ -178,27 +196,39 @@
 	return outcome
 }
 
-// memory is a store and a host list that never change.
+// memory is a store and a host list in this process. Its watches end only with ctx, because
+// the tests change nothing after the start.
 type memory struct {
-	config   wigeonspindle.Config
+	mutex    sync.Mutex
+	records  map[string]wigeonspindle.Record
 	listings []wigeonspindle.Listing
 }
 
-// Get returns the configuration.
+// Get returns a record.
 func (m *memory) Get(_ context.Context, key string) (wigeonspindle.Record, error) {
-	data, err := json.Marshal(m.config)
-	return wigeonspindle.Record{Key: key, Value: data, Version: 1}, err
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record := m.records[key]
+	record.Key = key
+	return record, nil
 }
 
-// Swap refuses every change.
-func (m *memory) Swap(context.Context, wigeonspindle.Record) (wigeonspindle.Record, error) {
-	return wigeonspindle.Record{}, &wigeonspindle.Refusal{Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun}
+// Swap writes a record when its version is current.
+func (m *memory) Swap(_ context.Context, record wigeonspindle.Record) (wigeonspindle.Record, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.records[record.Key].Version != record.Version {
+		return wigeonspindle.Record{}, &wigeonspindle.Refusal{Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun}
+	}
+	record.Version++
+	m.records[record.Key] = record
+	return record, nil
 }
 
-// Watch returns the first version and then waits.
+// Watch returns a record that is newer, or waits.
 func (m *memory) Watch(ctx context.Context, key string, after uint64) (wigeonspindle.Record, error) {
-	if after == 0 {
-		return m.Get(ctx, key)
+	if record, _ := m.Get(ctx, key); record.Version > after {
+		return record, nil
 	}
 	<-ctx.Done()
 	return wigeonspindle.Record{}, ctx.Err()
--- a/internal/transport/launcher/rings_test.go
+++ b/internal/transport/launcher/rings_test.go
@@ -85,12 +85,12 @@
 	defer f.close(f.hosts...)
 	release := make(chan struct{})
 	f.targets.script(func(context.Context, wigeonspindle.Attempt, *wigeonspindle.Outcome) { <-release })
-	gate.Lock()
+	before := f.meter.sends()
 	var waiting sync.WaitGroup
 	var covered, notRun atomic.Int32
 	for range queries {
 		waiting.Go(func() {
-			answer := f.hosts[0].Query(context.Background(), query(4*time.Second))
+			answer := f.hosts[0].Query(context.Background(), query(8*time.Second))
 			covered.Add(int32(answer.Coverage.Answered))
 			if answer.Verdict == wigeonspindle.NotRun || !answer.Coverage.Whole() && answer.Verdict == wigeonspindle.Ran {
 				notRun.Add(1)
@@ -98,13 +98,20 @@
 		})
 	}
 	for range 300 {
-		if f.meter.sends() >= shards*queries {
+		if f.meter.sends()-before >= shards*queries {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	gate.Lock()
 	close(release)
-	time.Sleep(500 * time.Millisecond)
+	for range 300 {
+		if f.meter.count("outcomes") > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
 	gate.Unlock()
 	waiting.Wait()
 	lost := f.meter.count("outcomes")
