launcher: run the query tests on the store layout of documents

The fake store of the query tests held one record with the whole configuration; since hosts read a head and index documents they never got a configuration and every such test failed with 'gave no whole answer'. The fake is now a compare-and-swap store filled by the committer. Hosts dial the advertised link address, so that the proxies of the tests were bypassed; the setting 'listen' separates the address to listen on from the advertised one.

--- a/internal/protocol/parser/settings.go
+++ b/internal/protocol/parser/settings.go
@@ -20,6 +20,9 @@
 	Caller string `json:"caller" validate:"required,hostport"`
 	// Link is the listener for other hosts.
 	Link string `json:"link" validate:"required,hostport"`
+	// Listen is where the listener for other hosts listens when that is not Link, for
+	// example behind a port that the machine forwards.
+	Listen string `json:"listen,omitempty" validate:"omitempty,hostport"`
 	// Admin is the listener for operators.
 	Admin string `json:"admin" validate:"required,hostport"`
 	// Token is the operators' bearer token.
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +12,8 @@
 	"github.com/charmbracelet/log"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
@@ -59,18 +60,20 @@
 		index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, shard)
 		for j := range 2 {
 			index.Targets = append(index.Targets, wigeonspindle.Target{
-				Name: fmt.Sprintf("%s-%d", shard, j), Address: "127.0.0.1:1", Domain: s.place(i, j), Shards: []string{shard},
+				Name: fmt.Sprintf("%s-%d", shard, j), Address: fmt.Sprintf("127.0.0.1:%d", 1+2*i+j), Domain: s.place(i, j), Shards: []string{shard},
 				Slots: 8, Connections: 50, Floor: 1000,
 			})
 		}
 	}
 	f := &fleet{targets: &targets{runs: make(map[string]int)}, meter: &meter{dropped: make(map[string]int)}}
-	store := &memory{config: wigeonspindle.Config{Revision: 1, Rules: s.rules, Indexes: []wigeonspindle.Index{index}}}
+	store := &memory{records: make(map[string]wigeonspindle.Record)}
+	publish(t, store, wigeonspindle.Config{Rules: s.rules, Domains: s.domains(), Indexes: []wigeonspindle.Index{index}})
 	for i := range s.hosts {
 		domain := string(rune('a' + i))
-		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2}
-		f.links = append(f.links, newProxy(t, settings.Link))
-		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: f.links[i].listener.Addr().String()})
+		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Listen: free(t), Workers: 2}
+		f.links = append(f.links, newProxy(t, settings.Listen))
+		settings.Link = f.links[i].listener.Addr().String()
+		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
 		f.hosts = append(f.hosts, &launcher.Host{
 			Settings: settings, Clock: s.clock, Logger: log.New(io.Discard), Store: store, Lister: store,
 			Sender: f.targets, Meter: f.meter,
@@ -87,6 +90,15 @@
 	return f
 }
 
+// domains returns the failure domains of the hosts and the replicas.
+func (s setup) domains() []wigeonspindle.Domain {
+	var domains []wigeonspindle.Domain
+	for i := range max(s.hosts, 2) {
+		domains = append(domains, wigeonspindle.Domain{Name: string(rune('a' + i))})
+	}
+	return domains
+}
+
 // await waits until a host gives whole answers and knows all others.
 func (f *fleet) await(t testing.TB, host, shards int) {
 	t.Helper()
@@ -178,30 +190,75 @@
 	return outcome
 }
 
-// memory is a store and a host list that never change.
+// memory is a store and a host list in this process.
 type memory struct {
-	config   wigeonspindle.Config
+	mutex    sync.Mutex
+	records  map[string]wigeonspindle.Record
+	changed  chan struct{} // changed is closed at the next write.
 	listings []wigeonspindle.Listing
 }
 
-// Get returns the configuration.
+// publish writes a configuration. Rules that a test leaves out have the default values,
+// except Extra and Canary, whose zero values mean something.
+func publish(t testing.TB, store wigeonspindle.Store, config wigeonspindle.Config) {
+	t.Helper()
+	defaults := validator.DefaultRules()
+	rules := &config.Rules
+	rules.Soft = cmp.Or(rules.Soft, defaults.Soft)
+	rules.Lifetime = cmp.Or(rules.Lifetime, defaults.Lifetime)
+	rules.Expiry = cmp.Or(rules.Expiry, defaults.Expiry)
+	rules.Lease = cmp.Or(rules.Lease, defaults.Lease)
+	c := &committer.Committer{Store: store, Codec: encoder.Documents{}, Validator: validator.New()}
+	change := wigeonspindle.Change{Identity: "seed", Author: "test", Config: config}
+	if _, _, err := c.Commit(t.Context(), committer.Proposal{Change: change, Now: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Get returns a record.
 func (m *memory) Get(_ context.Context, key string) (wigeonspindle.Record, error) {
-	data, err := json.Marshal(m.config)
-	return wigeonspindle.Record{Key: key, Value: data, Version: 1}, err
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record := m.records[key]
+	record.Key = key
+	return record, nil
 }
 
-// Swap refuses every change.
-func (m *memory) Swap(context.Context, wigeonspindle.Record) (wigeonspindle.Record, error) {
-	return wigeonspindle.Record{}, &wigeonspindle.Refusal{Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun}
+// Swap writes a record when its version is the current one.
+func (m *memory) Swap(_ context.Context, record wigeonspindle.Record) (wigeonspindle.Record, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.records[record.Key].Version != record.Version {
+		return wigeonspindle.Record{}, &wigeonspindle.Refusal{Code: wigeonspindle.CodeConflict, Verdict: wigeonspindle.NotRun}
+	}
+	record.Version++
+	m.records[record.Key] = record
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+	return record, nil
 }
 
-// Watch returns the first version and then waits.
+// Watch waits for a newer version of a record.
 func (m *memory) Watch(ctx context.Context, key string, after uint64) (wigeonspindle.Record, error) {
-	if after == 0 {
-		return m.Get(ctx, key)
+	for {
+		m.mutex.Lock()
+		record := m.records[key]
+		if m.changed == nil {
+			m.changed = make(chan struct{})
+		}
+		changed := m.changed
+		m.mutex.Unlock()
+		if record.Version > after {
+			return record, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return wigeonspindle.Record{}, ctx.Err()
+		}
 	}
-	<-ctx.Done()
-	return wigeonspindle.Record{}, ctx.Err()
 }
 
 // List returns the hosts.
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -3,6 +3,7 @@
 package linker
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -30,7 +31,9 @@
 	Recorder  wigeonspindle.Recorder
 	Handler   wigeonspindle.LinkHandler
 	Heartbeat func() wigeonspindle.Heartbeat
-	Logger    *log.Logger
+	// Listen is the address to listen on when it differs from the advertised Self.Link.
+	Listen string
+	Logger *log.Logger
 	// Refused, when set, is called when the address of a host refused a connection. It must
 	// not block.
 	Refused func(host string)
@@ -45,9 +48,10 @@
 
 // Run listens for other hosts and starts accepting their streams.
 func (l *Linker) Run() error {
-	listener, err := net.Listen("tcp", l.Self.Link)
+	address := cmp.Or(l.Listen, l.Self.Link)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrapf(err, "listen for hosts on %s", l.Self.Link)
+		return errors.Wrapf(err, "listen for hosts on %s", address)
 	}
 	l.listener = &boundedListener{Listener: listener, slots: make(chan struct{}, maxAccepted)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
