linker: send unchanged heartbeats empty, carry large configurations

A heartbeat equal to the one before on its stream is sent empty and restored by the receiver.

A message may have 16 MB.

Tests listen on ports below the range of outgoing connections and on an address of their process: the benchmark with 60 hosts failed once because a port was taken between its choice and the listener.

--- a/internal/transport/launcher/host_test.go
+++ b/internal/transport/launcher/host_test.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,13 +137,13 @@
 
 func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
+// freePort is the last port given out. Ports below the range of outgoing connections and an
+// address of the process's own are never taken between the choice and the listener.
+var freePort atomic.Int64
+
 // free returns a loopback address that no listener uses.
 func free(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/62500%250, pid/250%250, 1+pid%250, 20000+freePort.Add(1)%10000)
 }
--- a/internal/transport/linker/acceptor.go
+++ b/internal/transport/linker/acceptor.go
@@ -34,7 +34,7 @@
 }
 
 func (a *acceptor) read(stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) error {
-	from := ""
+	from, beats := "", &beatReader{}
 	reply := func(message wigeonspindle.Envelope) bool { return out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
@@ -42,22 +42,29 @@
 			return err
 		}
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
-			from = heartbeat.GetHost().GetName()
+			if name := heartbeat.GetHost().GetName(); name != "" {
+				from = name
+			}
 			answer := a.linker.Heartbeat()
 			out.Offer(&wigeonspindle.Envelope{Heartbeat: &answer})
 		}
-		if err := a.linker.deliver(frame, from, reply); err != nil {
+		if err := a.linker.deliver(frame, from, beats, reply); err != nil {
 			a.linker.Logger.Warn("message dropped", "peer", from, "error", err)
 		}
 	}
 }
 
 func (a *acceptor) write(ctx context.Context, stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) {
+	beats := &beatWriter{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case message := <-out.C():
+			if message.Heartbeat != nil {
+				short := beats.shorten(*message.Heartbeat)
+				message.Heartbeat = &short
+			}
 			frame, err := a.linker.encode(*message)
 			if err != nil {
 				a.linker.Logger.Warn("answer dropped", "error", err)
--- a/internal/transport/linker/guard.go
+++ b/internal/transport/linker/guard.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -23,6 +24,7 @@
 // the same duty never runs.
 type guardedConn struct {
 	net.Conn
+	written *atomic.Uint64
 	once    sync.Once
 	release func()
 }
@@ -40,7 +42,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(wigeonspindle.SilenceLimit)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.written.Add(uint64(n))
+	return n, err
 }
 
 // Close closes the connection.
@@ -54,7 +58,8 @@
 // boundedListener closes connections beyond maxAccepted at once.
 type boundedListener struct {
 	net.Listener
-	slots chan struct{}
+	slots   chan struct{}
+	written *atomic.Uint64
 }
 
 // Accept returns the next connection within the bound.
@@ -66,7 +71,7 @@
 		}
 		select {
 		case l.slots <- struct{}{}:
-			return &guardedConn{Conn: conn, release: func() { <-l.slots }}, nil
+			return &guardedConn{Conn: conn, written: l.written, release: func() { <-l.slots }}, nil
 		default:
 			_ = conn.Close()
 		}
--- /dev/null
+++ b/internal/transport/linker/heartbeat_test.go
@@ -0,0 +1,164 @@
+package linker_test
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/linker"
+)
+
+// beatEvents passes on heartbeats and deltas.
+type beatEvents struct {
+	beats  chan wigeonspindle.Heartbeat
+	deltas chan wigeonspindle.Delta
+	up     chan string
+}
+
+func (e *beatEvents) Received(message wigeonspindle.Envelope, _ wigeonspindle.Reply) {
+	if message.Heartbeat != nil {
+		select {
+		case e.beats <- *message.Heartbeat:
+		default:
+		}
+	}
+	if message.Delta != nil {
+		e.deltas <- *message.Delta
+	}
+}
+func (e *beatEvents) Unsent(string, wigeonspindle.Envelope) {}
+func (e *beatEvents) Up(host string)                        { e.up <- host }
+func (e *beatEvents) Down(string)                           {}
+
+func beatLinker(t testing.TB, self wigeonspindle.Host, heartbeat func() wigeonspindle.Heartbeat) (*linker.Linker, *beatEvents) {
+	t.Helper()
+	events := &beatEvents{beats: make(chan wigeonspindle.Heartbeat, 256), deltas: make(chan wigeonspindle.Delta, 1), up: make(chan string, 256)}
+	l := &linker.Linker{
+		Self: self, Clock: systemClock{}, Handler: events, Logger: log.New(io.Discard), Heartbeat: heartbeat,
+		Recorder: &recorder.Recorder{Clock: systemClock{}, Host: self.Name, Size: 16},
+	}
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l, events
+}
+
+// TestHeartbeats guards against a shortened heartbeat that a peer restores to an outdated
+// content.
+func TestHeartbeats(t *testing.T) {
+	var revision atomic.Uint64
+	a := wigeonspindle.Host{Name: "a", Link: free(t)}
+	b := wigeonspindle.Host{Name: "b", Link: free(t)}
+	sender, _ := beatLinker(t, a, func() wigeonspindle.Heartbeat {
+		return wigeonspindle.Heartbeat{Host: a, Revision: wigeonspindle.Revision(revision.Load()), Heard: []string{"b"}}
+	})
+	_, events := beatLinker(t, b, func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: b} })
+	sender.Connect([]wigeonspindle.Host{b})
+	for i, want := range []wigeonspindle.Revision{0, 0, 0, 7, 7, 0} {
+		got := <-events.beats
+		if got.Host != a || got.Revision != want || len(got.Heard) != 1 {
+			t.Errorf("heartbeat %d: got %+v, want host a at revision %d", i, got, want)
+		}
+		if i == 2 {
+			revision.Store(7)
+		}
+		if i == 4 {
+			revision.Store(0)
+		}
+	}
+}
+
+// TestLargeDelta guards against a whole configuration of twice the planned scale, 26,000 targets,
+// that exceeds what a link carries and keeps a host that starts in an outage unconfigured.
+func TestLargeDelta(t *testing.T) {
+	delta := wigeonspindle.Delta{Config: wigeonspindle.Config{Revision: 1}}
+	for i := range 260 {
+		index := wigeonspindle.Index{Name: fmt.Sprintf("index-%03d", i), Changed: 1}
+		for j := range 100 {
+			index.Targets = append(index.Targets, wigeonspindle.Target{
+				Name: fmt.Sprintf("index-%03d-target-%03d", i, j), Address: "127.100.100.100:10000", Domain: "region-a-domain-b",
+				Shards: []string{fmt.Sprintf("index-%03d-shard-%03d", i, j)}, Slots: 2, Connections: 50, Floor: 10,
+			})
+		}
+		delta.Names, delta.Config.Indexes = append(delta.Names, index.Name), append(delta.Config.Indexes, index)
+	}
+	a, b := wigeonspindle.Host{Name: "a", Link: free(t)}, wigeonspindle.Host{Name: "b", Link: free(t)}
+	sender, up := beatLinker(t, a, func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: a} })
+	_, events := beatLinker(t, b, func() wigeonspindle.Heartbeat { return wigeonspindle.Heartbeat{Host: b} })
+	sender.Connect([]wigeonspindle.Host{b})
+	<-up.up
+	started, before := time.Now(), sender.Written()
+	if !sender.Send("b", wigeonspindle.Envelope{Delta: &delta}) {
+		t.Fatal("the link refused the delta")
+	}
+	select {
+	case got := <-events.deltas:
+		t.Logf("26,000 targets: %d bytes in %s", sender.Written()-before, time.Since(started))
+		if len(got.Config.Indexes) != 260 {
+			t.Errorf("got %d indexes, want 260", len(got.Config.Indexes))
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the delta did not arrive within 5s")
+	}
+}
+
+// BenchmarkHeartbeats reports the bytes and the processor time that the heartbeats of a
+// quiet cell cost each host, by the number of hosts. All hosts run in this process.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, count := range []int{5, 15, 30, 60} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var hosts []wigeonspindle.Host
+			var names []string
+			for i := range count {
+				names = append(names, fmt.Sprintf("host-%02d", i))
+				hosts = append(hosts, wigeonspindle.Host{
+					Name: names[i], Incarnation: "0123456789abcdef", Domain: "domain-a", Cell: "main",
+					Caller: free(b), Link: free(b), Admin: "127.0.0.1:65535",
+				})
+			}
+			var linkers []*linker.Linker
+			for _, host := range hosts {
+				l, _ := beatLinker(b, host, func() wigeonspindle.Heartbeat {
+					return wigeonspindle.Heartbeat{Host: host, Revision: 12345, Heard: names, Terms: make([]uint64, 7)}
+				})
+				linkers = append(linkers, l)
+			}
+			for _, l := range linkers {
+				l.Connect(hosts)
+			}
+			time.Sleep(3 * time.Second) // All links are up.
+			for b.Loop() {
+				bytes, used := written(linkers), processor()
+				const window = 4 * time.Second
+				time.Sleep(window)
+				b.ReportMetric(float64(written(linkers)-bytes)/window.Seconds()/float64(count), "bytes/s/host")
+				b.ReportMetric(100*(processor()-used).Seconds()/window.Seconds()/float64(count), "%core/host")
+			}
+		})
+	}
+}
+
+func written(linkers []*linker.Linker) uint64 {
+	sum := uint64(0)
+	for _, l := range linkers {
+		sum += l.Written()
+	}
+	return sum
+}
+
+// processor returns the processor time that the process has used.
+func processor() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -6,12 +6,15 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/converter"
@@ -38,6 +41,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	waiting  sync.WaitGroup
+	written  atomic.Uint64
 	listener net.Listener
 	mutex    sync.Mutex
 	peers    map[string]*peer
@@ -49,7 +53,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for hosts on %s", l.Self.Link)
 	}
-	l.listener = &boundedListener{Listener: listener, slots: make(chan struct{}, maxAccepted)}
+	l.listener = &boundedListener{Listener: listener, slots: make(chan struct{}, maxAccepted), written: &l.written}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.mutex.Lock()
 	l.peers = make(map[string]*peer)
@@ -58,7 +62,7 @@
 	if err := messenger.DRPCRegisterLink(mux, &acceptor{linker: l}); err != nil {
 		return errors.Wrap(err, "register link service")
 	}
-	server := drpcserver.New(mux)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
@@ -80,6 +84,9 @@
 	return err
 }
 
+// Written returns the number of bytes written to all links.
+func (l *Linker) Written() uint64 { return l.written.Load() }
+
 // Connect keeps a link to each of the hosts and closes the links to all others.
 func (l *Linker) Connect(hosts []wigeonspindle.Host) {
 	l.mutex.Lock()
@@ -128,12 +135,17 @@
 }
 
 // deliver decodes a frame and hands it to the handler.
-func (l *Linker) deliver(frame *messenger.Frame, from string, reply wigeonspindle.Reply) error {
+func (l *Linker) deliver(frame *messenger.Frame, from string, beats *beatReader, reply wigeonspindle.Reply) error {
 	envelope, err := converter.Decode(frame, from, l.Clock.Now())
 	if err != nil {
 		return err
 	}
 	l.Recorder.Observe(envelope.Stamp)
+	if envelope.Heartbeat != nil {
+		if envelope.Heartbeat = beats.restore(envelope.Heartbeat); envelope.Heartbeat == nil {
+			return errors.New("an empty heartbeat came first")
+		}
+	}
 	l.Handler.Received(envelope, reply)
 	return nil
 }
@@ -144,6 +156,14 @@
 	return converter.Encode(envelope, l.Clock.Now())
 }
 
+// maxMessage bounds one message. The configuration of 13,000 targets takes 2.3 MB, which is
+// too near the 4 MB that drpc allows by default.
+const maxMessage = 16 << 20
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
 // Pauses between attempts to open a link.
 const (
 	redialDelay = 200 * time.Millisecond
--- a/internal/transport/linker/linker_bench_test.go
+++ b/internal/transport/linker/linker_bench_test.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,12 +98,13 @@
 	}
 }
 
-func free(b testing.TB) string {
-	b.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// freePort is the last port given out. Ports below the range of outgoing connections and an
+// address of the process's own are never taken between the choice and the listener.
+var freePort atomic.Int64
+
+// free returns a loopback address that no listener uses.
+func free(t testing.TB) string {
+	t.Helper()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/62500%250, pid/250%250, 1+pid%250, 20000+freePort.Add(1)%10000)
 }
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -57,7 +57,7 @@
 		}
 		return false, errors.Wrapf(err, "dial host %s", p.host.Name)
 	}
-	conn := drpcconn.New(&guardedConn{Conn: socket})
+	conn := drpcconn.NewWithOptions(&guardedConn{Conn: socket, written: &p.linker.written}, drpcconn.Options{Manager: managerOptions()})
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -82,6 +82,7 @@
 
 // read is the duty that receives answers from the host.
 func (p *peer) read(stream messenger.DRPCLink_ExchangeClient) {
+	beats := &beatReader{}
 	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
@@ -92,7 +93,7 @@
 		if !p.up.Swap(true) {
 			p.linker.Handler.Up(p.host.Name)
 		}
-		if err := p.linker.deliver(frame, p.host.Name, reply); err != nil {
+		if err := p.linker.deliver(frame, p.host.Name, beats, reply); err != nil {
 			p.linker.Logger.Warn("message dropped", "peer", p.host.Name, "error", err)
 		}
 	}
@@ -103,7 +104,8 @@
 func (p *peer) write(ctx context.Context, stream messenger.DRPCLink_ExchangeClient) error {
 	ticker := time.NewTicker(wigeonspindle.HeartbeatPeriod)
 	defer ticker.Stop()
-	if err := p.beat(stream); err != nil {
+	beats := &beatWriter{}
+	if err := p.beat(stream, beats); err != nil {
 		return err
 	}
 	for {
@@ -120,15 +122,15 @@
 			if silence > wigeonspindle.SilenceLimit {
 				return errors.Newf("host %s was silent for %s", p.host.Name, silence)
 			}
-			if err := p.beat(stream); err != nil {
+			if err := p.beat(stream, beats); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (p *peer) beat(stream messenger.DRPCLink_ExchangeClient) error {
-	heartbeat := p.linker.Heartbeat()
+func (p *peer) beat(stream messenger.DRPCLink_ExchangeClient, beats *beatWriter) error {
+	heartbeat := beats.shorten(p.linker.Heartbeat())
 	return p.send(stream, wigeonspindle.Envelope{Heartbeat: &heartbeat})
 }
 
