--- a/internal/coordination/detector/detector_test.go
+++ b/internal/coordination/detector/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/detector"
 )
@@ -199,3 +202,41 @@
 		})
 	}
 }
+
+// TestAnswering guards against any list, report, refusal or stray heartbeat that removes a
+// host whose heartbeats arrive in time.
+func TestAnswering(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		d := &detector.Detector{Self: wigeonspindle.Host{Name: "a", Cell: "main"}}
+		names := []string{"b", "c", "d", "x"}
+		for now := 0; now < 30_000; now += 100 {
+			if now%500 == 0 {
+				hear(d, beat{Host: "b", Incarnation: "b1"}, now)
+			}
+			name := rapid.SampledFrom(names).Draw(r, "name")
+			switch rapid.IntRange(0, 9).Draw(r, "act") {
+			case 0:
+				d.Listed(listings(list{Hosts: rapid.SliceOf(rapid.SampledFrom(names)).Draw(r, "list"), Leaving: names}))
+			case 1:
+				d.Refused(name)
+			case 2:
+				hear(d, beat{Host: name, Incarnation: "b1", Heard: names, Leaving: name != "b"}, now)
+			case 3:
+				// A heartbeat of the previous incarnation, sent before the current one began.
+				hear(d, beat{Host: "b", Incarnation: "b0", Stamp: -2000}, now)
+			case 4:
+				d.Dial(nil, at(now))
+			}
+			d.Tick(at(now))
+			compare(t, d, want{At: now, Conditions: map[string]string{"b": "live"}, Incarnations: map[string]string{"b": "b1"}})
+			if t.Failed() {
+				r.FailNow()
+			}
+		}
+	})
+}
--- a/internal/transport/launcher/cell_test.go
+++ b/internal/transport/launcher/cell_test.go
@@ -49,6 +49,7 @@
 type testCell struct {
 	store, list     *gate
 	storeAt, listAt *httptest.Server
+	platform        *simulator.Hosts
 	hosts           []*launcher.Host
 	listings        []wigeonspindle.Listing
 	index           wigeonspindle.Index
@@ -59,7 +60,8 @@
 // with a replica in each domain.
 func newTestCell(t testing.TB, hosts int, service time.Duration) *testCell {
 	t.Helper()
-	c := &testCell{store: &gate{Handler: &simulator.Store{}}, list: &gate{}, runs: make(map[string]*atomic.Int64)}
+	c := &testCell{store: &gate{Handler: &simulator.Store{}}, platform: &simulator.Hosts{}, runs: make(map[string]*atomic.Int64)}
+	c.list = &gate{Handler: c.platform}
 	c.index = wigeonspindle.Index{Name: "lookup", Prefer: wigeonspindle.CoverageFirst, Snapshots: []wigeonspindle.Snapshot{{Version: "v1", Shards: []string{"s0", "s1"}}}}
 	for _, domain := range []string{"a", "b", "c"} {
 		c.runs[domain] = &atomic.Int64{}
@@ -114,9 +116,7 @@
 	}
 	c.hosts = append(c.hosts, host)
 	c.listings = append(c.listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
-	list := &simulator.Hosts{}
-	list.Set(c.listings)
-	c.list.Handler = list
+	c.platform.Set(c.listings)
 	return host
 }
 
--- a/internal/transport/launcher/membership_test.go
+++ b/internal/transport/launcher/membership_test.go
@@ -89,6 +89,7 @@
 func TestOutage(t *testing.T) {
 	c := newTestCell(t, 6, time.Millisecond)
 	c.store.down.Store(true)
+	c.storeAt.CloseClientConnections() // Breaks the waiting watches.
 	late := c.prepare(t)
 	if err := late.Run(); err != nil {
 		t.Fatal(err)
@@ -106,6 +107,15 @@
 	if got := c.hosts[0].Addresses("b").Addresses; slices.ContainsFunc(got, func(a wigeonspindle.Address) bool { return a.Domain == "b" }) {
 		t.Errorf("addresses: got %v, want none in domain b", got)
 	}
+	calls, window := c.store.calls.Load(), 4*time.Second
+	time.Sleep(window)
+	calls = c.store.calls.Load() - calls
+	t.Logf("store calls during the outage: %d in %s", calls, window)
+	// Each of 6 watchers makes about 5 calls with growing pauses and tries to write the
+	// override every 2 s.
+	if want := int64(6*5 + 6*3); calls > want {
+		t.Errorf("store calls during the outage: got %d in %s, want at most %d", calls, window, want)
+	}
 	c.store.down.Store(false)
 	took = c.await(t, 20*time.Second, "the override is in the configuration", func(h *launcher.Host) bool {
 		status := h.Status()
