--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -33,6 +33,7 @@
 	Store    wigeonspindle.Store
 	Lister   wigeonspindle.Lister
 	Sender   wigeonspindle.Sender
+	Meter    wigeonspindle.Meter // Meter may be nil.
 	Logger   *log.Logger
 
 	self       wigeonspindle.Host
@@ -80,7 +81,13 @@
 	h.self = h.Settings.Host(NewIncarnation())
 	h.stop, h.stopped = make(chan struct{}), make(chan struct{})
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.recorder = &recorder.Recorder{Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize}
+	if h.Meter == nil {
+		h.Meter = noMeter{}
+	}
+	h.recorder = &recorder.Recorder{
+		Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize,
+		Sink: &recorder.LogSink{Logger: h.Logger},
+	}
 	h.holder = &holder.Holder{}
 	h.counted = countedStore{host: h}
 	h.committer = &committer.Committer{Store: h.counted, Codec: encoder.Documents{}, Validator: validator.New()}
@@ -99,7 +106,10 @@
 	}
 	h.control = newControlLoop(h)
 	h.leases = newLeaseLoop(h)
-	h.server = &server.Server{Address: h.self.Caller, Frontend: frontend{host: h}, Clock: h.Clock, Logger: h.Logger}
+	h.server = &server.Server{
+		Address: h.self.Caller, Frontend: frontend{host: h}, Clock: h.Clock, Logger: h.Logger,
+		Body: h.Settings.Body, Connections: h.Settings.Connections,
+	}
 	if err := h.linker.Run(); err != nil {
 		return err
 	}
