--- a/internal/protocol/converter/converter.go
+++ b/internal/protocol/converter/converter.go
@@ -111,7 +111,10 @@
 	switch body := frame.GetBody().(type) {
 	case *messenger.Frame_Forwarded:
 		envelope.Forwarded = &wigeonspindle.Forwarded{Counter: body.Forwarded.GetCounter()}
-		return errors.Wrap(json.Unmarshal(body.Forwarded.GetAnswer(), &envelope.Forwarded.Answer), "decode forwarded answer")
+		err := json.Unmarshal(body.Forwarded.GetAnswer(), &envelope.Forwarded.Answer)
+		// An answer without a verdict gives no promise that the request was not run.
+		envelope.Forwarded.Answer.Verdict = verdictOf(uint32(envelope.Forwarded.Answer.Verdict))
+		return errors.Wrap(err, "decode forwarded answer")
 	case *messenger.Frame_Notice:
 		envelope.Notice = &wigeonspindle.Notice{}
 		return errors.Wrap(json.Unmarshal(body.Notice.GetRoster(), &envelope.Notice.Roster), "decode roster")
--- /dev/null
+++ b/internal/protocol/encoder/fuzz_test.go
@@ -0,0 +1,126 @@
+package encoder_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+)
+
+// FuzzDecodeQuery guards against a caller's bytes that stop the host or that are accepted as
+// a query outside the limits.
+func FuzzDecodeQuery(f *testing.F) {
+	f.Add([]byte(`{"index":"a","shards":["s1","s2"],"body":"wool","budget":"150ms","caller":"c"}`))
+	f.Add([]byte(`{"index":"a","body":"","budget":"1s","class":"once","id":"ab12.1700000000000.cd34"}`))
+	f.Add([]byte(`{"index":"a","budget":"9223372036s","body":"\ud800"} {}`))
+	f.Add([]byte("{\"index\":\"a\",\"body\":\"\xff\"}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		now := time.Unix(1_700_000_000, 0)
+		query, refusal := encoder.DecodeQuery(bytes.NewReader(data), now)
+		if refusal != nil {
+			if refusal.Verdict != wigeonspindle.NotRun || refusal.Code == "" || refusal.Message == "" {
+				t.Errorf("refusal: got %+v, want a code, a message and verdict not-run", refusal)
+			}
+			return
+		}
+		budget := query.Deadline.Sub(now)
+		if query.Index == "" || budget <= 0 || budget > encoder.MaxBudget || len(query.Shards) > encoder.MaxShards || !utf8.Valid(query.Body) {
+			t.Errorf("query: got %+v outside the limits", query)
+		}
+		if (query.Class == wigeonspindle.Once) != (query.Identity.Nonce != "") {
+			t.Errorf("query: got class %s with identity %+v", query.Class, query.Identity)
+		}
+	})
+}
+
+// FuzzParseIdentity guards against two texts for one identity, because a target would take
+// the second one for another request.
+func FuzzParseIdentity(f *testing.F) {
+	f.Add("ab12.1700000000000.cd34")
+	f.Add("ab12.-1.cd34")
+	f.Add("a.9223372036854775807.b")
+	f.Add("..")
+	f.Fuzz(func(t *testing.T, text string) {
+		identity, err := encoder.ParseIdentity(text)
+		if err != nil {
+			return
+		}
+		if got := encoder.FormatIdentity(identity); got != text {
+			t.Errorf("identity: got %q, want %q", got, text)
+		}
+	})
+}
+
+// FuzzDecodeProposal guards against operators' bodies that stop the host or are accepted
+// although a part is missing or out of range.
+func FuzzDecodeProposal(f *testing.F) {
+	f.Add([]byte(`{"expected":1,"author":"me","indexes":[`+goodIndex+`]}`), true)
+	f.Add([]byte(`{"expected":1,"author":"me","rules":{"extra":0.05,"canary":true,"soft":0.8,"lifetime":"10m","expiry":"10m","lease":"3s"}}`), false)
+	f.Add([]byte(`{"expected":null,"indexes":[[]],"rules":[]}`), true)
+	f.Add([]byte(`{"expected":18446744073709551616,"author":"\u0000"}`), false)
+	f.Fuzz(func(t *testing.T, data []byte, inventory bool) {
+		part := encoder.PartRules
+		if inventory {
+			part = encoder.PartInventory
+		}
+		proposal, refusal := encoder.DecodeProposal(data, part)
+		if refusal != nil {
+			return
+		}
+		if proposal.Expected == nil || proposal.Author == "" || (proposal.Indexes != nil) != inventory || (proposal.Rules != nil) == inventory {
+			t.Errorf("proposal: got %+v without a refusal", proposal)
+		}
+		again, err := json.Marshal(proposal)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, refusal := encoder.DecodeProposal(again, part); refusal != nil && len(proposal.Indexes) > 0 {
+			t.Errorf("encoded again: got %v, want acceptance of %s", refusal, again)
+		}
+	})
+}
+
+// FuzzDecodeDomain guards against bodies of PUT /domains that are accepted without a state.
+func FuzzDecodeDomain(f *testing.F) {
+	f.Add([]byte(`{"author":"me","out":true,"expected":3}`))
+	f.Add([]byte(`{"author":"me","out":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var proposal encoder.DomainProposal
+		if problems := encoder.DecodeAndCheck(data, &proposal); len(problems) == 0 && (proposal.Out == nil || proposal.Author == "") {
+			t.Errorf("proposal: got %+v without a problem", proposal)
+		}
+	})
+}
+
+// FuzzDecodeStoreValue guards against answers of the key-value service that stop the host or
+// exceed the largest value.
+func FuzzDecodeStoreValue(f *testing.F) {
+	f.Add([]byte(`{"value":"eyJyZXZpc2lvbiI6MX0=","version":3}`))
+	f.Add([]byte(`{"value":"!","version":-1}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		value, err := encoder.DecodeStoreValue(bytes.NewReader(data))
+		if err == nil && len(value.Value) > 1<<20 {
+			t.Errorf("value: got %d bytes", len(value.Value))
+		}
+	})
+}
+
+// FuzzDecodeListings guards against host lists that stop the host or name an address to
+// which no link can be opened.
+func FuzzDecodeListings(f *testing.F) {
+	f.Add([]byte(`[{"name":"a","link":"192.0.2.1:70","leaving":true},{"name":"b","link":"[2001:db8::1]:70"}]`))
+	f.Add([]byte(`[{"name":"a","link":"a:b"},null]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		listings, _ := encoder.DecodeListings(bytes.NewReader(data))
+		for _, listing := range listings {
+			if listing.Name == "" || !encoder.IsAddress(listing.Link) {
+				t.Errorf("listing: got %+v", listing)
+			}
+		}
+	})
+}
