--- a/internal/transport/commander/commander.go
+++ b/internal/transport/commander/commander.go
@@ -74,6 +74,8 @@
 	add(parser.Command, "status", "Print the state of a host", &statusCommand{commander: c})
 	add(parser.Command, "timeline", "Print the merged events of all hosts", &timelineCommand{commander: c})
 	add(parser.Command, "example", "Print an example file of a deployment", &exampleCommand{commander: c})
+	add(parser.Command, "demo", "Run a demonstration in this process", &demoCommand{commander: c})
+	add(parser.Command, "load", "Measure the system and a baseline under load", &loadCommand{commander: c})
 	add(parser.Command, "version", "Print the version", &versionCommand{commander: c})
 }
 
