validator: check settings and operators' bodies with the same code

Faults of settings, of operators' bodies and of configurations now have one form and come from one checker; a refusal lists all of them. Validator messages show the value that was given, so the token is a Secret, whose value is never shown. An inventory declares the failure domains of its targets, because the validator refuses undeclared ones and no other call could declare them.

--- a/internal/coordination/validator/cross.go
+++ b/internal/coordination/validator/cross.go
@@ -89,3 +89,22 @@
 		}
 	}
 }
+
+// DeclareDomains adds the failure domains that targets name to the domains of the
+// configuration, in service. It does not modify the list that it replaces.
+func DeclareDomains(config *wigeonspindle.Config) {
+	declared := make(map[string]bool)
+	for _, domain := range config.Domains {
+		declared[domain.Name] = true
+	}
+	domains := slices.Clone(config.Domains)
+	for _, index := range config.Indexes {
+		for _, target := range index.Targets {
+			if target.Domain != "" && !declared[target.Domain] {
+				declared[target.Domain] = true
+				domains = append(domains, wigeonspindle.Domain{Name: target.Domain})
+			}
+		}
+	}
+	config.Domains = domains
+}
--- a/internal/coordination/validator/validator.go
+++ b/internal/coordination/validator/validator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -28,7 +29,7 @@
 	}
 }
 
-// Validator checks configurations.
+// Validator checks configurations and other documents by the tags of their types.
 type Validator struct {
 	checker *validator.Validate
 }
@@ -41,31 +42,28 @@
 		return name
 	})
 	// Registration fails only for an empty tag or a nil function.
-	_ = checker.RegisterValidation("hostport", hostport)
+	_ = checker.RegisterValidation("hostport", func(field validator.FieldLevel) bool {
+		return IsAddress(field.Field().String())
+	})
+	_ = checker.RegisterValidation("label", func(field validator.FieldLevel) bool {
+		return labelPattern.MatchString(field.Field().String())
+	})
 	return &Validator{checker: checker}
 }
 
-// hostport accepts an IP address with a port. Names are refused because hosts and targets
-// communicate by numeric addresses.
-func hostport(field validator.FieldLevel) bool {
-	address, err := netip.ParseAddrPort(field.Field().String())
-	return err == nil && address.Port() != 0
+// labelPattern accepts names that are safe in paths, headers and log lines.
+var labelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// IsAddress reports whether a text is an IP address with a port to which others can
+// connect. Names are refused because hosts and targets communicate by numeric addresses.
+func IsAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
 }
 
 // Check returns the faults of a configuration, at most MaxFaults.
 func (v *Validator) Check(config wigeonspindle.Config) []wigeonspindle.Fault {
-	var faults []wigeonspindle.Fault
-	if err := v.checker.Struct(config); err != nil {
-		list, ok := err.(validator.ValidationErrors)
-		if !ok {
-			return []wigeonspindle.Fault{{Message: err.Error()}}
-		}
-		for _, fault := range list {
-			_, path, _ := strings.Cut(fault.Namespace(), ".")
-			faults = append(faults, wigeonspindle.Fault{Field: path, Message: explain(fault)})
-		}
-	}
-	faults = append(faults, cross(config)...)
+	faults := append(v.Struct(config), cross(config)...)
 	if len(faults) > MaxFaults {
 		rest := fmt.Sprintf("%d more faults", len(faults)-MaxFaults+1)
 		faults = append(faults[:MaxFaults-1], wigeonspindle.Fault{Message: rest})
@@ -73,6 +71,25 @@
 	return faults
 }
 
+// Struct returns the faults that the tags of a struct's fields show.
+func (v *Validator) Struct(value any) []wigeonspindle.Fault {
+	err := v.checker.Struct(value)
+	if err == nil {
+		return nil
+	}
+	list, ok := err.(validator.ValidationErrors)
+	if !ok {
+		return []wigeonspindle.Fault{{Message: err.Error()}}
+	}
+	root := reflect.Indirect(reflect.ValueOf(value)).Type()
+	faults := make([]wigeonspindle.Fault, 0, len(list))
+	for _, fault := range list {
+		_, path, _ := strings.Cut(fault.Namespace(), ".")
+		faults = append(faults, wigeonspindle.Fault{Field: path, Message: explain(root, fault)})
+	}
+	return faults
+}
+
 // Refuse returns the refusal that carries the faults, or nil without faults.
 func Refuse(faults []wigeonspindle.Fault) *wigeonspindle.Refusal {
 	if len(faults) == 0 {
@@ -86,14 +103,18 @@
 
 // explain states what the field accepts, with the whole range and not only the bound that
 // was exceeded.
-func explain(fault validator.FieldError) string {
-	accepted := accepted(fault.StructNamespace(), fault.Type())
+func explain(root reflect.Type, fault validator.FieldError) string {
+	accepted := accepted(root, fault.StructNamespace(), fault.Type())
+	if fault.Tag() == "required" {
+		return "is missing, accepted: " + accepted
+	}
 	return fmt.Sprintf("got %s, accepted: %s", show(fault.Value()), accepted)
 }
 
+// show returns a value for a message. Secrets have a String method that hides them.
 func show(value any) string {
-	if duration, ok := value.(wigeonspindle.Duration); ok {
-		return duration.String()
+	if text, ok := value.(fmt.Stringer); ok {
+		return text.String()
 	}
 	reflected := reflect.ValueOf(value)
 	switch reflected.Kind() {
@@ -109,9 +130,9 @@
 	return fmt.Sprint(value)
 }
 
-// accepted describes the rules of the field at a path of Go field names.
-func accepted(path string, kind reflect.Type) string {
-	rules, element := tag(path)
+// accepted describes the rules of the field at a path of Go field names below root.
+func accepted(root reflect.Type, path string, kind reflect.Type) string {
+	rules, element := tag(root, path)
 	if before, after, found := strings.Cut(rules, "dive"); found {
 		rules = before
 		if element {
@@ -151,19 +172,23 @@
 		return "one of " + strings.ReplaceAll(value, " ", ", ")
 	case "hostport":
 		return "an IP address with a port, such as 10.0.0.1:8080"
+	case "label":
+		return "only letters, digits, dots, underscores and hyphens, the first one a letter or digit"
+	case "printascii":
+		return "only printable ASCII characters"
 	}
 	return rule
 }
 
 // tag returns the rules of the field and whether the path ends in an element of a list.
-func tag(path string) (rules string, element bool) {
-	current := reflect.TypeFor[wigeonspindle.Config]()
+func tag(root reflect.Type, path string) (rules string, element bool) {
+	current := root
 	for i, part := range strings.Split(path, ".") {
 		if i == 0 {
 			continue
 		}
 		name, _, indexed := strings.Cut(part, "[")
-		for current.Kind() == reflect.Slice {
+		for current.Kind() == reflect.Slice || current.Kind() == reflect.Pointer {
 			current = current.Elem()
 		}
 		field, ok := current.FieldByName(name)
--- a/internal/protocol/encoder/document.go
+++ b/internal/protocol/encoder/document.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 )
 
 // Inventory is the operators' document of the indexes and their targets.
@@ -87,15 +87,6 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// DefaultRules are the rules before the first change.
-func DefaultRules() wigeonspindle.Rules {
-	return wigeonspindle.Rules{
-		Extra: 0.05, Canary: true, Soft: 0.8,
-		Lifetime: wigeonspindle.Duration(10 * time.Minute), Expiry: wigeonspindle.Duration(10 * time.Minute),
-		Lease: wigeonspindle.Duration(3 * time.Second),
-	}
-}
-
 // ErrorAnswer is the body of every refusal of the operators' API.
 type ErrorAnswer struct {
 	Refusal *wigeonspindle.Refusal `json:"refusal"`
@@ -116,22 +107,30 @@
 		switch {
 		case problems.Has(name):
 		case name == part && !given[name]:
-			problems = append(problems, Problem{Field: name, Message: "is required"})
+			problems = append(problems, wigeonspindle.Fault{Field: name, Message: "is required"})
 		case name != part && given[name]:
-			problems = append(problems, Problem{Field: name, Message: fmt.Sprintf("is not accepted here, only %s", part)})
+			problems = append(problems, wigeonspindle.Fault{Field: name, Message: fmt.Sprintf("is not accepted here, only %s", part)})
 		}
 	}
 	return proposal, problems.Refusal()
 }
 
+// checker is safe for concurrent use and caches the tags of the types that it has seen.
+var checker = validator.New()
+
 // DecodeAndCheck reads one JSON value strictly, validates it by its tags and returns all
-// faults of both. A field that could not be decoded is reported once.
+// faults of both, at most validator.MaxFaults. A field that could not be decoded is reported
+// once.
 func DecodeAndCheck(data []byte, value any) Problems {
 	problems := DecodeStrict(data, value)
-	for _, problem := range Check(value) {
+	for _, problem := range checker.Struct(value) {
 		if !problems.Has(problem.Field) {
 			problems = append(problems, problem)
 		}
 	}
+	if len(problems) > validator.MaxFaults {
+		rest := fmt.Sprintf("%d more faults", len(problems)-validator.MaxFaults+1)
+		problems = append(problems[:validator.MaxFaults-1], wigeonspindle.Fault{Message: rest})
+	}
 	return problems
 }
--- a/internal/protocol/encoder/encoder.go
+++ b/internal/protocol/encoder/encoder.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 )
 
 // QueryRequest is the body of a caller's POST /query.
@@ -220,7 +221,7 @@
 	}
 	usable := make([]wigeonspindle.Listing, 0, len(listings))
 	for _, listing := range listings {
-		if listing.Name != "" && IsAddress(listing.Link) {
+		if listing.Name != "" && validator.IsAddress(listing.Link) {
 			usable = append(usable, listing)
 		}
 	}
--- a/internal/protocol/encoder/strict.go
+++ b/internal/protocol/encoder/strict.go
@@ -11,42 +11,38 @@
 	"unicode/utf8"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 )
 
-// Problem is one fault of a document: the path of the field and what it accepts.
-type Problem struct {
-	Field   string `json:"field,omitempty"`
-	Message string `json:"message"`
-}
-
 // Problems are all faults found in one document.
-type Problems []Problem
+type Problems []wigeonspindle.Fault
 
-// Error returns the faults on one line.
+// Error returns a single fault on one line and several faults on a line each.
 func (p Problems) Error() string {
-	lines := make([]string, 0, len(p))
+	if len(p) == 1 {
+		return line(p[0])
+	}
+	text := fmt.Sprintf("%d faults", len(p))
 	for _, problem := range p {
-		if problem.Field == "" {
-			lines = append(lines, problem.Message)
-			continue
-		}
-		lines = append(lines, problem.Field+" "+problem.Message)
+		text += "\n  " + line(problem)
 	}
-	return strings.Join(lines, "; ")
+	return text
+}
+
+func line(fault wigeonspindle.Fault) string {
+	if fault.Field == "" {
+		return fault.Message
+	}
+	return fault.Field + ": " + fault.Message
 }
 
 // Has reports whether a fault of the field is among the faults.
 func (p Problems) Has(field string) bool {
-	return slices.ContainsFunc(p, func(problem Problem) bool { return problem.Field == field })
+	return slices.ContainsFunc(p, func(problem wigeonspindle.Fault) bool { return problem.Field == field })
 }
 
-// Refusal returns the faults as a refusal that names the first field and lists them all.
-func (p Problems) Refusal() *wigeonspindle.Refusal {
-	if len(p) == 0 {
-		return nil
-	}
-	return invalid(p[0].Field, p.Error())
-}
+// Refusal returns the faults as a refusal, or nil without faults.
+func (p Problems) Refusal() *wigeonspindle.Refusal { return validator.Refuse(p) }
 
 // DecodeStrict reads one JSON value and reports every unknown key, repeated key and wrong
 // type in it at once. Keys match by exact case. Fields without a fault are set.
@@ -141,7 +137,7 @@
 }
 
 func (w *walker) add(path, message string) {
-	w.problems = append(w.problems, Problem{Field: path, Message: message})
+	w.problems = append(w.problems, wigeonspindle.Fault{Field: path, Message: message})
 }
 
 // expected describes the values that a field accepts.
--- a/internal/protocol/parser/settings.go
+++ b/internal/protocol/parser/settings.go
@@ -23,7 +23,7 @@
 	// Admin is the listener for operators.
 	Admin string `json:"admin" validate:"required,hostport"`
 	// Token is the operators' bearer token.
-	Token string `json:"token" validate:"required,min=16,max=256,printascii"`
+	Token Secret `json:"token" validate:"required,min=16,max=256,printascii"`
 	// Store is the address of the key-value service.
 	Store string `json:"store" validate:"required,hostport"`
 	// Hosts is the address of the host list.
@@ -40,6 +40,12 @@
 	Connections int `json:"connections" validate:"min=1,max=65536"`
 }
 
+// Secret is a text that is not shown in messages and logs.
+type Secret string
+
+// String hides the secret.
+func (Secret) String() string { return "a hidden value" }
+
 // defaults are the values of the settings that a file may leave out.
 func defaults() Settings {
 	return Settings{Cell: "main", Workers: 2, Level: "info", Body: 1 << 20, Connections: 4096}
@@ -79,7 +85,7 @@
 	for i, listener := range listeners {
 		for _, other := range listeners[:i] {
 			if listener.address != "" && listener.address == other.address {
-				problems = append(problems, encoder.Problem{
+				problems = append(problems, wigeonspindle.Fault{
 					Field: listener.field, Message: "must differ from the address of " + other.field,
 				})
 			}
--- a/internal/transport/administrator/changes.go
+++ b/internal/transport/administrator/changes.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -44,6 +45,7 @@
 func (a *Administrator) putInventory(c echo.Context) error {
 	return a.propose(c, encoder.PartInventory, func(config *wigeonspindle.Config, proposal encoder.Proposal) {
 		config.Indexes = proposal.Indexes
+		validator.DeclareDomains(config)
 	})
 }
 
@@ -90,7 +92,7 @@
 // base returns the configuration with the expected revision. Revision 0 is the empty
 // configuration before the first change.
 func (a *Administrator) base(expected wigeonspindle.Revision) (wigeonspindle.Config, *wigeonspindle.Refusal) {
-	config := wigeonspindle.Config{Rules: encoder.DefaultRules()}
+	config := wigeonspindle.Config{Rules: validator.DefaultRules()}
 	if current := a.Host.Config(); current != nil {
 		config = *current
 	}
--- a/internal/transport/commander/client.go
+++ b/internal/transport/commander/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -38,7 +39,7 @@
 // call sends one request to a host. The error is a Refusal whose verdict says whether a
 // change may have taken effect.
 func (c connection) call(ctx context.Context, method, address, path string, body, answer any) error {
-	if !encoder.IsAddress(address) {
+	if !validator.IsAddress(address) {
 		return errors.Wrapf(errUsage, "--address or WIGEONSPINDLE_ADDRESS must be an IP:port, got %q", address)
 	}
 	data, err := json.Marshal(body)
--- a/internal/transport/commander/commander.go
+++ b/internal/transport/commander/commander.go
@@ -97,6 +97,11 @@
 		return ExitUsage
 	}
 	_, _ = fmt.Fprintln(c.Err, "error:", err)
+	if errors.As(err, &refusal) && len(refusal.Faults) > 1 {
+		for _, fault := range refusal.Faults {
+			_, _ = fmt.Fprintf(c.Err, "  %s: %s\n", fault.Field, fault.Message)
+		}
+	}
 	switch {
 	case errors.Is(err, errUsage):
 		return ExitUsage
--- a/internal/transport/commander/example.go
+++ b/internal/transport/commander/example.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 )
@@ -84,7 +85,7 @@
 
 // rules returns the default rules with a soft deadline.
 func rules(soft float64) wigeonspindle.Rules {
-	rules := encoder.DefaultRules()
+	rules := validator.DefaultRules()
 	rules.Soft = soft
 	return rules
 }
--- a/internal/transport/commander/proposal.go
+++ b/internal/transport/commander/proposal.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -36,10 +37,19 @@
 	return data, errors.Wrap(err, "read document")
 }
 
-// readInventory reads and checks an inventory.
+// readInventory reads and checks an inventory. Its failure domains count as declared,
+// because a host declares them when it accepts the inventory.
 func (c *Commander) readInventory(name string) (encoder.Inventory, error) {
 	var inventory encoder.Inventory
-	return inventory, c.readDocument(name, &inventory)
+	if err := c.readDocument(name, &inventory); err != nil {
+		return inventory, err
+	}
+	config := wigeonspindle.Config{Rules: validator.DefaultRules(), Indexes: inventory.Indexes}
+	validator.DeclareDomains(&config)
+	if faults := validator.New().Check(config); len(faults) > 0 {
+		return inventory, errors.Wrapf(encoder.Problems(faults), "%s", name)
+	}
+	return inventory, nil
 }
 
 // readRules reads and checks rules.
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -81,6 +81,10 @@
 	}
 	answer := s.Frontend.Query(request.Context(), query)
 	if answer.Refusal != nil {
+		if answer.Refusal.Code == wigeonspindle.CodeLeaving {
+			// The caller should connect to another host, not reuse this connection.
+			c.Response().Header().Set("Connection", "close")
+		}
 		return c.JSON(encoder.Status(answer.Refusal), answer)
 	}
 	return c.JSON(http.StatusOK, answer)
