--- a/internal/transport/administrator/changes.go
+++ b/internal/transport/administrator/changes.go
@@ -133,26 +133,19 @@
 	return c.JSON(http.StatusOK, result)
 }
 
-// checkDomain refuses a failure domain that neither the configuration nor any host names,
-// because a misspelled name would leave the intended domain in service.
+// checkDomain refuses a failure domain that the configuration does not declare, because a
+// misspelled name would leave the intended domain in service. Without a configuration every
+// name is accepted.
 func (a *Administrator) checkDomain(name string, proposal encoder.DomainProposal) *wigeonspindle.Refusal {
-	config := a.Host.Config()
 	if proposal.Expected != nil {
 		if _, refusal := a.base(*proposal.Expected); refusal != nil {
 			return refusal
 		}
 	}
-	known := slices.ContainsFunc(a.Host.Status().Members, func(member wigeonspindle.Member) bool {
-		return member.Host.Domain == name
-	})
-	if config != nil {
-		known = known || slices.ContainsFunc(config.Domains, func(domain wigeonspindle.Domain) bool { return domain.Name == name })
-		for _, index := range config.Indexes {
-			known = known || slices.ContainsFunc(index.Targets, func(target wigeonspindle.Target) bool { return target.Domain == name })
-		}
-	}
-	if !known {
-		return invalid("name", fmt.Sprintf("no host, target or rule names the failure domain %q", name))
+	config := a.Host.Config()
+	declared := func(domain wigeonspindle.Domain) bool { return domain.Name == name }
+	if config != nil && !slices.ContainsFunc(config.Domains, declared) {
+		return invalid("name", fmt.Sprintf("got %q, accepted: a failure domain that the configuration declares", name))
 	}
 	return nil
 }
--- a/internal/transport/commander/example.go
+++ b/internal/transport/commander/example.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,6 +12,8 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/loader"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // exampleCommand prints an example file. The files under examples/ are its output.
@@ -26,98 +29,64 @@
 
 // Execute runs the command.
 func (c *exampleCommand) Execute([]string) error {
-	deployment := deployments[c.Deployment]
+	deployment := loader.Deployments()[c.Deployment]
 	switch c.Args.Document {
 	case "settings":
-		if c.Number < 1 || c.Number > deployment.hosts {
-			return errors.Wrapf(errUsage, "--number must be between 1 and %d", deployment.hosts)
+		if c.Number < 1 || c.Number > deployment.Hosts {
+			return errors.Wrapf(errUsage, "--number must be between 1 and %d", deployment.Hosts)
 		}
-		return printJSON(c.commander.Out, deployment.settings(c.Number))
+		return printJSON(c.commander.Out, exampleSettings(deployment, c.Number))
 	case "inventory":
-		return printInventory(c.commander.Out, deployment.inventory())
+		return printInventory(c.commander.Out, exampleInventory(deployment))
 	case "rules":
-		return printJSON(c.commander.Out, encoder.RuleBook{Rules: deployment.rules})
+		return printJSON(c.commander.Out, exampleRules(deployment))
 	}
 	return errors.Wrap(errUsage, "DOCUMENT must be settings, inventory or rules")
 }
 
-// deployment describes a deployment of the size in table 1.4 of the design.
-type deployment struct {
-	hosts   int
-	domains []string
-	groups  []group
-	rules   wigeonspindle.Rules
-}
-
-// group is an index with equal targets.
-type group struct {
-	index       string
-	prefer      wigeonspindle.Preference
-	shards      int
-	replicas    int
-	connections int
-	open        string
-	floor       float64
-}
-
-// deployments use addresses reserved for documentation. The design states no cold limit and
-// no opening time for Hinterberger; the floors and that time are assumptions.
-var deployments = map[string]deployment{
-	"cooperative": {
-		hosts: 15, domains: []string{"a", "b", "c", "d"},
-		groups: []group{
-			{"lookup", wigeonspindle.CoverageFirst, 50, 2, 50, "6ms", 20},
-			{"commissions", wigeonspindle.CoverageFirst, 1, 7, 190, "1ms", 20},
-			{"ledger", wigeonspindle.CoverageFirst, 1, 4, 190, "1ms", 20},
-		},
-		rules: rules(1),
-	},
-	"hinterberger": {
-		hosts: 15, domains: []string{"a", "b", "c"},
-		groups: []group{
-			{"articles", wigeonspindle.TailFirst, 50, 2, 55, "6ms", 20},
-			{"warehouse", wigeonspindle.TailFirst, 1, 20, 75, "1ms", 20},
-			{"accounts", wigeonspindle.CoverageFirst, 1, 10, 75, "1ms", 20},
-		},
-		rules: rules(0.7),
-	},
-}
-
-// rules returns the default rules with a soft deadline.
-func rules(soft float64) wigeonspindle.Rules {
-	rules := validator.DefaultRules()
-	rules.Soft = soft
-	return rules
-}
-
-// settings returns the settings of a host. Hosts are dealt to the domains in turn.
-func (d deployment) settings(number int) parser.Settings {
+// exampleSettings returns the settings of a host with addresses reserved for documentation.
+// Hosts are dealt to the failure domains in turn.
+func exampleSettings(deployment loader.Deployment, number int) parser.Settings {
 	address := fmt.Sprintf("192.0.2.%d", number)
 	return parser.Settings{
-		Name: fmt.Sprintf("host-%d", number), Domain: d.domains[(number-1)%len(d.domains)], Cell: "main",
+		Name: fmt.Sprintf("host-%d", number), Domain: deployment.Domains[(number-1)%len(deployment.Domains)], Cell: "main",
 		Caller: address + ":7000", Link: address + ":7001", Admin: address + ":7002",
 		Token: "replace-this-token", Store: "203.0.113.1:7100", Hosts: "203.0.113.2:7200",
-		Peers:   []string{fmt.Sprintf("192.0.2.%d:7001", number%d.hosts+1)},
-		Workers: 2, Level: "info", Body: encoder.MaxBody, Connections: 4096,
+		Peers:   []string{fmt.Sprintf("192.0.2.%d:7001", number%deployment.Hosts+1)},
+		Workers: deployment.Workers, Level: "info", Body: encoder.MaxBody, Connections: 4096,
+	}
+}
+
+// exampleRules returns the default rules. An index that prefers the tail returns at half of
+// its budget; the others wait to the deadline whatever the soft deadline is.
+func exampleRules(deployment loader.Deployment) encoder.RuleBook {
+	rules := encoder.RuleBook{Rules: validator.DefaultRules()}
+	prefersTail := func(group simulator.Group) bool { return group.Prefer == wigeonspindle.TailFirst }
+	if slices.ContainsFunc(deployment.Groups, prefersTail) {
+		rules.Rules.Soft = 0.5
 	}
+	return rules
 }
 
-// inventory returns the indexes. The replicas of a shard are in different domains.
-func (d deployment) inventory() encoder.Inventory {
+// exampleInventory returns the indexes of a deployment. The replicas of a shard are in
+// different failure domains.
+func exampleInventory(deployment loader.Deployment) encoder.Inventory {
 	var inventory encoder.Inventory
 	last := 0
-	for _, group := range d.groups {
+	for _, group := range deployment.Groups {
 		index := wigeonspindle.Index{
-			Name: group.index, Prefer: group.prefer, Snapshots: []wigeonspindle.Snapshot{{Version: "v1"}},
+			Name: group.Index, Prefer: group.Prefer, Snapshots: []wigeonspindle.Snapshot{{Version: simulator.Version}},
 		}
-		for shard := range group.shards {
-			name := fmt.Sprintf("s%02d", shard+1)
+		for shard := range group.Shards {
+			name := fmt.Sprintf("s%02d", shard)
 			index.Snapshots[0].Shards = append(index.Snapshots[0].Shards, name)
-			for replica := range group.replicas {
+			for replica := range group.Replicas {
 				last++
-				target := group.target(fmt.Sprintf("%s-%s-%d", group.index, name, replica+1), last)
-				target.Domain, target.Shards = d.domains[(shard+replica)%len(d.domains)], []string{name}
-				index.Targets = append(index.Targets, target)
+				index.Targets = append(index.Targets, wigeonspindle.Target{
+					Name: fmt.Sprintf("%s-%s-r%d", group.Index, name, replica), Address: fmt.Sprintf("198.51.100.%d:9000", last),
+					Domain: group.Domains[(shard+replica)%len(group.Domains)], Shards: []string{name},
+					Slots: group.Slots, Connections: group.Connections, Open: group.Open, Floor: group.Floor,
+				})
 			}
 		}
 		inventory.Indexes = append(inventory.Indexes, index)
@@ -125,15 +94,6 @@
 	return inventory
 }
 
-func (g group) target(name string, number int) wigeonspindle.Target {
-	target := wigeonspindle.Target{
-		Name: name, Address: fmt.Sprintf("198.51.100.%d:9000", number),
-		Slots: 2, Connections: g.connections, Floor: g.floor,
-	}
-	_ = target.Open.UnmarshalText([]byte(g.open)) // The groups above hold valid durations.
-	return target
-}
-
 // printInventory writes an inventory with one target a line, which keeps the differences
 // between two versions of a file readable.
 func printInventory(out io.Writer, inventory encoder.Inventory) error {
