administrator: one label for the rings of all workers

The number of a worker in a ring's name made a series for each worker. Found by following the operators' guide: a target whose lease end is not known showed a lease that ended centuries ago; it no longer counts for the gauge.

--- a/internal/transport/administrator/fake_test.go
+++ b/internal/transport/administrator/fake_test.go
@@ -94,10 +94,11 @@
 			},
 			Targets: []wigeonspindle.TargetStatus{
 				{Target: "t1", Until: start.Add(3 * time.Second), Load: wigeonspindle.Load{Running: 2, Waiting: 5, Level: 1}},
+				{Target: "t3", Load: wigeonspindle.Load{Level: 1}}, // The end of its lease is not known.
 				{Target: "t2", Until: start.Add(time.Second), Load: wigeonspindle.Load{Running: 1, Level: 0.25}},
 			},
 			Rings: []wigeonspindle.RingStatus{
-				{Ring: "queries", Waiting: 1, Capacity: 4096}, {Ring: "queries", Waiting: 2, Capacity: 4096},
+				{Ring: "queries0", Waiting: 1, Capacity: 4096}, {Ring: "queries1", Waiting: 2, Capacity: 4096},
 			},
 			Overrides: []wigeonspindle.Override{{Domain: "a", Out: true, Stamp: wigeonspindle.Stamp{Wall: start}}},
 		},
--- a/internal/transport/administrator/gauges.go
+++ b/internal/transport/administrator/gauges.go
@@ -1,6 +1,8 @@
 package administrator
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -79,7 +81,7 @@
 	g.targets(status.Targets, gauge)
 }
 
-// rings sums the fill of rings with the same name, such as one for each worker.
+// rings sums the fill of the rings with the same label.
 func (g *gauges) rings(rings []wigeonspindle.RingStatus, gauge func(*prometheus.Desc, float64, ...string)) {
 	waiting, capacity := make(map[string]int), make(map[string]int)
 	for _, ring := range rings {
@@ -113,13 +115,15 @@
 		return
 	}
 	gauge(descLevel, level)
-	first := targets[0].Until
+	var first time.Time
 	for _, target := range targets {
-		if target.Until.Before(first) {
+		if !target.Until.IsZero() && (first.IsZero() || target.Until.Before(first)) {
 			first = target.Until
 		}
 	}
-	gauge(descLease, first.Sub(g.meter.Clock.Now()).Seconds())
+	if !first.IsZero() {
+		gauge(descLease, first.Sub(g.meter.Clock.Now()).Seconds())
+	}
 }
 
 // domainsOut counts the failure domains out of service; the newest override of a domain
--- a/internal/transport/administrator/meter.go
+++ b/internal/transport/administrator/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,8 +133,10 @@
 	return other
 }
 
-// ring returns the name of a ring, or other once there are too many.
+// ring returns the label of a ring: its name without the number of its worker, or other
+// once there are too many names.
 func (m *Meter) ring(name string) string {
+	name = strings.TrimRight(name, "0123456789")
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if !m.rings[name] {
--- a/internal/transport/administrator/meter_test.go
+++ b/internal/transport/administrator/meter_test.go
@@ -47,7 +47,7 @@
 		`wigeonspindle_overrides 1`,
 		`wigeonspindle_ring_elements{ring="queries"} 3`,
 		`wigeonspindle_ring_capacity_elements{ring="queries"} 8192`,
-		`wigeonspindle_targets_owned 2`,
+		`wigeonspindle_targets_owned 3`,
 		`wigeonspindle_targets_ramping 1`,
 		`wigeonspindle_targets_attempts_running 3`,
 		`wigeonspindle_targets_attempts_waiting 5`,
