--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
@@ -114,16 +115,15 @@
 
 // configure writes the first configuration.
 func (c *cluster) configure(ctx context.Context, addresses simulator.Addresses) error {
-	config := wigeonspindle.Config{Revision: 1, Rules: rules(), Indexes: addresses.Indexes}
+	config := wigeonspindle.Config{Rules: rules(), Indexes: addresses.Indexes}
 	for _, domain := range c.deployment.Domains {
 		config.Domains = append(config.Domains, wigeonspindle.Domain{Name: domain})
 	}
-	data, err := json.Marshal(config)
-	if err != nil {
-		return errors.Wrap(err, "encode configuration")
+	writer := &committer.Committer{
+		Store: &storer.Storer{Address: addresses.Store}, Codec: encoder.Documents{}, Validator: validator.New(),
 	}
-	store := &storer.Storer{Address: addresses.Store}
-	_, err = store.Swap(ctx, wigeonspindle.Record{Key: launcher.ConfigKey, Value: data})
+	change := wigeonspindle.Change{Identity: "load", Author: "load", Reason: "load run", Config: config}
+	_, _, err := writer.Commit(ctx, committer.Proposal{Change: change, Now: time.Now()})
 	return err
 }
 
