commander: start the operators' listener with the host

The listener stays open until the host has stopped, so that operators can watch a drain. TestRun configures a host, queries it and drains it through the program's own commands.

--- a/internal/transport/administrator/fake_test.go
+++ b/internal/transport/administrator/fake_test.go
@@ -86,7 +86,7 @@
 			}},
 		},
 		status: wigeonspindle.Status{
-			Host: wigeonspindle.Host{Name: "host-1"}, Revision: 7, Ready: true, Queries: 3,
+			Host: wigeonspindle.Host{Name: "host-1"}, Revision: 7, Ready: true, Queries: 3, StoreCalls: 11,
 			StoreSeen: start.Add(-2 * time.Second),
 			Members: []wigeonspindle.Member{
 				{Host: wigeonspindle.Host{Name: "host-1", Domain: "a"}, Condition: wigeonspindle.Live},
--- a/internal/transport/administrator/gauges.go
+++ b/internal/transport/administrator/gauges.go
@@ -22,6 +22,7 @@
 	descLeaving   = describe("leaving", "1 when the host is draining.")
 	descRevision  = describe("config_revision", "Revision of the configuration in force.")
 	descStore     = describe("store_silence_seconds", "Time since the key-value service last answered.")
+	descCalls     = describe("store_calls_total", "Calls that the host made to the key-value service.")
 	descQueries   = describe("queries_running", "Queries in progress.")
 	descMembers   = describe("members", "Hosts of the cell by condition.", "condition")
 	descOut       = describe("domains_out", "Failure domains that are out of service.")
@@ -37,7 +38,7 @@
 )
 
 var descs = []*prometheus.Desc{
-	descReady, descLeaving, descRevision, descStore, descQueries, descMembers, descOut, descOverrides,
+	descReady, descLeaving, descRevision, descStore, descCalls, descQueries, descMembers, descOut, descOverrides,
 	descRing, descCapacity, descOwned, descRamping, descRunning, descWaiting, descLevel, descLease,
 }
 
@@ -64,6 +65,7 @@
 	gauge(descReady, truth(status.Ready))
 	gauge(descLeaving, truth(status.Leaving))
 	gauge(descRevision, float64(status.Revision))
+	out <- prometheus.MustNewConstMetric(descCalls, prometheus.CounterValue, float64(status.StoreCalls))
 	gauge(descQueries, float64(status.Queries))
 	gauge(descOverrides, float64(len(status.Overrides)))
 	gauge(descOut, float64(domainsOut(g.meter.Host.Config(), status.Overrides)))
--- a/internal/transport/administrator/meter_test.go
+++ b/internal/transport/administrator/meter_test.go
@@ -40,6 +40,7 @@
 		`wigeonspindle_config_revision 7`,
 		`wigeonspindle_store_silence_seconds 2`,
 		`wigeonspindle_queries_running 3`,
+		`wigeonspindle_store_calls_total 11`,
 		`wigeonspindle_members{condition="live"} 1`,
 		`wigeonspindle_members{condition="suspect"} 1`,
 		`wigeonspindle_members{condition="gone"} 0`,
--- a/internal/transport/commander/run.go
+++ b/internal/transport/commander/run.go
@@ -11,18 +11,23 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
 	"wigeonspindle.example/wigeonspindle/internal/transport/lister"
 	"wigeonspindle.example/wigeonspindle/internal/transport/sender"
 	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
 )
 
-// stopTimeout bounds a graceful shutdown.
-const stopTimeout = 90 * time.Second
+const (
+	// stopTimeout bounds a graceful shutdown.
+	stopTimeout = 90 * time.Second
+	// apiTimeout bounds the operators' requests in progress at the end of a shutdown.
+	apiTimeout = 2 * time.Second
+)
 
-// runCommand runs a host until it receives SIGTERM or SIGINT.
+// runCommand runs a host until it receives SIGTERM or SIGINT or an operator drains it.
 type runCommand struct {
-	Config string `long:"config" required:"true" description:"settings file in JSON"`
+	Config string `long:"config" required:"true" value-name:"FILE" description:"settings file in JSON"`
 
 	commander *Commander
 }
@@ -41,24 +46,50 @@
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level,
 	})
 	targets := &sender.Sender{Clock: systemClock{}}
+	meter := administrator.NewMeter(systemClock{})
 	host := &launcher.Host{
 		Settings: settings, Clock: systemClock{}, Logger: logger, Sender: targets,
 		Store: &storer.Storer{Address: settings.Store}, Lister: &lister.Lister{Address: settings.Hosts},
 	}
+	meter.Host = host
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
 	if err := host.Run(); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	api := &administrator.Administrator{
+		Address: settings.Admin, Token: string(settings.Token), Host: host, Meter: meter, Clock: systemClock{}, Logger: logger,
+	}
+	if err := api.Run(); err != nil {
+		stopped, cancel := context.WithCancel(context.Background())
+		cancel() // No operator can reach the host, so it has no requests to finish.
+		return errors.CombineErrors(err, errors.CombineErrors(host.Close(stopped), targets.Close()))
+	}
 	select {
 	case <-signals:
 	case <-host.Done(): // An operator drained the host.
 	}
+	return stop(host, api, targets, signals, logger)
+}
+
+// stop shuts a host down. The operators' listener stays open until the host has stopped, so
+// that operators can watch the drain.
+func stop(host *launcher.Host, api *administrator.Administrator, targets *sender.Sender, signals <-chan os.Signal, logger *log.Logger) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	go func() {
-		<-signals // A second signal ends the graceful shutdown.
-		cancel()
+		select {
+		case <-signals: // A second signal ends the graceful shutdown.
+			cancel()
+		case <-ctx.Done():
+		}
 	}()
-	return errors.CombineErrors(host.Close(ctx), targets.Close())
+	err := host.Close(ctx)
+	closing, done := context.WithTimeout(context.Background(), apiTimeout)
+	defer done()
+	err = errors.CombineErrors(err, api.Close(closing))
+	err = errors.CombineErrors(err, targets.Close())
+	logger.Info("host stopped")
+	return err
 }
--- /dev/null
+++ b/internal/transport/commander/run_test.go
@@ -0,0 +1,142 @@
+package commander_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/commander"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+)
+
+// TestRun guards against a host program whose parts are not wired together: operators
+// configure it, a caller is answered, the metrics count that, and a drain ends the program
+// with success and without a leak of goroutines or of the token into the log.
+func TestRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	bundle := &simulator.Bundle{Settings: simulator.Settings{Seed: 1, Groups: []simulator.Group{{
+		Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: []string{"a"}, Shards: 2, Replicas: 1, Slots: 2,
+		Connections: 50, Service: wigeonspindle.Duration(time.Millisecond), Floor: 20,
+	}}}}
+	addresses, err := bundle.Run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := bundle.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	settings := parser.Settings{
+		Name: "host-1", Domain: "a", Cell: "main", Caller: free(t), Link: free(t), Admin: free(t), Token: token,
+		Store: addresses.Store, Hosts: addresses.Hosts, Workers: 1, Level: "debug", Body: 4096, Connections: 16,
+	}
+	bundle.Hosts.Set([]wigeonspindle.Listing{{Name: "host-1", Link: settings.Link}})
+	dir := t.TempDir()
+	var log bytes.Buffer
+	ended := make(chan int, 1)
+	go func() {
+		program := &commander.Commander{Out: io.Discard, Err: &log}
+		ended <- program.Run([]string{"run", "--config", write(t, dir, "settings.json", settings)})
+	}()
+	t.Setenv("WIGEONSPINDLE_ADDRESS", settings.Admin)
+	t.Setenv("WIGEONSPINDLE_TOKEN", token)
+	await(t, "the operators' listener", func() bool { code, _, _ := run("status"); return code == commander.ExitOK })
+	inventory := write(t, dir, "inventory.json", encoder.Inventory{Indexes: addresses.Indexes})
+	if code, _, failure := run("inventory", "put", inventory, "--author", "me"); code != commander.ExitOK {
+		t.Fatalf("inventory put: got code %d and %s", code, failure)
+	}
+	await(t, "a whole answer", func() bool { return strings.Contains(query(t, settings.Caller, "wool"), `"answered":2,"total":2`) })
+	if got := query(t, settings.Caller, strings.Repeat("w", 5000)); !strings.Contains(got, `"code":"too-large","verdict":"not-run"`) {
+		t.Errorf("oversized body: got %s", got)
+	}
+	if got := fetch(t, settings.Admin, "/metrics"); !strings.Contains(got, "wigeonspindle_config_revision 1\n") {
+		t.Errorf("metrics: got %s", got)
+	}
+	if code, out, failure := run("drain", "--wait", "--timeout", "60s"); code != commander.ExitOK || !strings.Contains(out, "has stopped") {
+		t.Errorf("drain: got code %d and %s%s", code, out, failure)
+	}
+	if code := <-ended; code != commander.ExitOK {
+		t.Errorf("run: got code %d, want %d", code, commander.ExitOK)
+	}
+	if got := log.String(); strings.Contains(got, token) || !strings.Contains(got, "msg=configured") {
+		t.Errorf("log: got %s", got)
+	}
+}
+
+func await(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for range 300 {
+		if reached() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("got no %s within 15 s", what)
+}
+
+func query(t *testing.T, address, body string) string {
+	t.Helper()
+	text := `{"index":"lookup","budget":"1s","body":"` + body + `"}`
+	response, err := http.Post("http://"+address+"/query", "application/json", strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content(t, response)
+}
+
+func fetch(t *testing.T, address, path string) string {
+	t.Helper()
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content(t, response)
+}
+
+func content(t *testing.T, response *http.Response) string {
+	t.Helper()
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func write(t *testing.T, dir, name string, value any) string {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// free returns an address of this test alone, so that no outgoing connection takes its port.
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.4:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
