--- a/internal/protocol/encoder/fuzz_test.go
+++ b/internal/protocol/encoder/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 	"testing"
 	"time"
 	"unicode/utf8"
@@ -158,3 +159,23 @@
 		}
 	})
 }
+
+// FuzzDecodeStrict guards against a document that the strict decoder accepts with another
+// content than the standard decoder.
+func FuzzDecodeStrict(f *testing.F) {
+	f.Add([]byte(`{"revision":3,"indexes":[` + goodIndex + `]}`))
+	f.Add([]byte(`{"indexes":[{"name":"\u0061","targets":[{"floor":1e1,"open":"1h2m"}]}],"revision":0}`))
+	f.Add([]byte(` { "indexes" : [ ] } `))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got, want encoder.Inventory
+		if len(encoder.DecodeStrict(data, &got)) > 0 {
+			return
+		}
+		if err := json.Unmarshal(data, &want); err != nil {
+			t.Fatalf("standard decoder: %v", err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("document: got %+v, want %+v", got, want)
+		}
+	})
+}
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -124,3 +124,54 @@
 		t.Errorf("answer: got status %d and verdict %s, want 200 and ran", status, answer.Verdict)
 	}
 }
+
+// TestConnections guards against callers that open connections without bound: the one over
+// the limit waits until another is closed.
+func TestConnections(t *testing.T) {
+	address := strings.TrimPrefix(start(t, &server.Server{Frontend: &frontend{}, Connections: 1}), "http://")
+	first, second := dial(t, address), dial(t, address)
+	if got := ask(t, first, time.Second); !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("first connection: got %q, want an answer", got)
+	}
+	if got := ask(t, second, 200*time.Millisecond); got != "" {
+		t.Errorf("second connection: got %q, want no answer while the first is open", got)
+	}
+	_ = first.Close()
+	if got := ask(t, second, time.Second); !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("second connection: got %q, want an answer", got)
+	}
+}
+
+// TestSlowRequest guards against a caller that holds a connection by sending its body slowly.
+func TestSlowRequest(t *testing.T) {
+	address := strings.TrimPrefix(start(t, &server.Server{Frontend: &frontend{}, Read: 200 * time.Millisecond}), "http://")
+	connection := dial(t, address)
+	if _, err := connection.Write([]byte("POST /query HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{")); err != nil {
+		t.Fatal(err)
+	}
+	if got := ask(t, connection, 2*time.Second); !strings.HasPrefix(got, "HTTP/1.1 400") || !strings.Contains(got, "was not received") {
+		t.Errorf("answer: got %q, want a refusal before the body is complete", got)
+	}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection
+}
+
+// ask sends a request for addresses and returns what arrives first within the time.
+func ask(t *testing.T, connection net.Conn, patience time.Duration) string {
+	t.Helper()
+	if _, err := connection.Write([]byte("GET /addresses HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(patience))
+	buffer := make([]byte, 4096)
+	n, _ := connection.Read(buffer)
+	return string(buffer[:n])
+}
