--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -33,6 +33,7 @@
 	Store    wigeonspindle.Store
 	Lister   wigeonspindle.Lister
 	Sender   wigeonspindle.Sender
+	Meter    wigeonspindle.Meter // Meter may be nil.
 	Logger   *log.Logger
 
 	self       wigeonspindle.Host
@@ -80,6 +81,9 @@
 	h.self = h.Settings.Host(NewIncarnation())
 	h.stop, h.stopped = make(chan struct{}), make(chan struct{})
 	h.ctx, h.cancel = context.WithCancel(context.Background())
+	if h.Meter == nil {
+		h.Meter = noMeter{}
+	}
 	h.recorder = &recorder.Recorder{
 		Clock: h.Clock, Host: h.self.Name, Domain: h.self.Domain, Size: eventSize,
 		Sink: &recorder.LogSink{Logger: h.Logger},
