--- a/internal/transport/commander/run.go
+++ b/internal/transport/commander/run.go
@@ -48,7 +48,7 @@
 	targets := &sender.Sender{Clock: systemClock{}}
 	meter := administrator.NewMeter(systemClock{})
 	host := &launcher.Host{
-		Settings: settings, Clock: systemClock{}, Logger: logger, Sender: targets,
+		Settings: settings, Clock: systemClock{}, Logger: logger, Sender: targets, Meter: meter,
 		Store: &storer.Storer{Address: settings.Store}, Lister: &lister.Lister{Address: settings.Hosts},
 	}
 	meter.Host = host
