--- /dev/null
+++ b/cmd/wigeonspindle/process_test.go
@@ -0,0 +1,329 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/requester"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
+)
+
+// hung is the time after which a step is taken to hang; no pass depends on it.
+const hung = 60 * time.Second
+
+// budget is the time of one query. It is long, because the machine may be busy.
+const budget = 5 * time.Second
+
+// programs is the directory of the built programs.
+var programs string
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "wigeonspindle")
+	if err != nil {
+		panic(err)
+	}
+	programs = directory
+	build := exec.Command("go", "build", "-o", directory+"/", "../wigeonspindle", "../standin")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%s: %s", err, output))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// process is one program started by a test.
+type process struct {
+	command *exec.Cmd
+	output  *bytes.Buffer
+	exited  chan struct{}
+}
+
+// start runs a program and ends it by its process ID when the test ends.
+func start(t *testing.T, program string, settings any, stdout *os.File) *process {
+	t.Helper()
+	data, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	arguments := []string{"--config", file}
+	if program == "wigeonspindle" {
+		arguments = append([]string{"run"}, arguments...)
+	}
+	p := &process{command: exec.Command(filepath.Join(programs, program), arguments...), output: &bytes.Buffer{}, exited: make(chan struct{})}
+	p.command.Stderr = p.output
+	if stdout != nil {
+		p.command.Stdout = stdout
+	}
+	// The kernel ends the process should the test binary die without its cleanups.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.exited
+		if t.Failed() && p.output.Len() > 0 {
+			t.Logf("%s %d: %s", program, p.command.Process.Pid, p.output)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fleet is a query tier of processes with the stand-ins in another process.
+type fleet struct {
+	addresses simulator.Addresses
+	settings  []parser.Settings
+	hosts     []*process
+	client    *requester.Requester
+}
+
+// startFleet starts five hosts in three failure domains and waits until they serve.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	domains := []string{"a", "b", "c"}
+	f := &fleet{}
+	f.startStandins(t, simulator.Settings{Seed: 1, Groups: []simulator.Group{{
+		Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: domains, Shards: 6, Replicas: 2, Slots: 2, Connections: 50,
+		Service: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20, Down: wigeonspindle.Duration(time.Second),
+	}}})
+	var listings []wigeonspindle.Listing
+	for i := range 5 {
+		free := freeAddresses(t, 3)
+		s := parser.Settings{
+			Name: fmt.Sprintf("host-%d", i), Domain: domains[i%len(domains)], Cell: "main", Caller: free[0], Link: free[1], Admin: free[2],
+			Token: "token-of-the-end-to-end-tests-only", Store: f.addresses.Store, Hosts: f.addresses.Hosts, Workers: 2, Level: "warn", Body: 1 << 20, Connections: 4096,
+		}
+		f.settings = append(f.settings, s)
+		listings = append(listings, wigeonspindle.Listing{Name: s.Name, Link: s.Link})
+	}
+	f.control(t, "/hosts", simulator.HostsChange{Listings: listings})
+	f.configure(t)
+	f.client = &requester.Requester{Domain: "a", Caller: "test", Clock: systemClock{}}
+	t.Cleanup(func() { _ = f.client.Close() })
+	for _, s := range f.settings {
+		f.hosts = append(f.hosts, start(t, "wigeonspindle", s, nil))
+		f.client.Seeds = append(f.client.Seeds, s.Caller)
+	}
+	for i := range f.hosts {
+		f.awaitWhole(t, i)
+	}
+	return f
+}
+
+func (f *fleet) startStandins(t *testing.T, settings simulator.Settings) {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	start(t, "standin", settings, writer)
+	_ = writer.Close()
+	defer func() { _ = reader.Close() }()
+	_ = reader.SetReadDeadline(time.Now().Add(hung))
+	if err := json.NewDecoder(reader).Decode(&f.addresses); err != nil {
+		t.Fatalf("read the addresses of the stand-ins: %v", err)
+	}
+}
+
+// configure writes the first configuration.
+func (f *fleet) configure(t *testing.T) {
+	t.Helper()
+	config := wigeonspindle.Config{
+		Revision: 1, Indexes: f.addresses.Indexes,
+		Domains: []wigeonspindle.Domain{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+		Rules: wigeonspindle.Rules{
+			Extra: 0.05, Soft: 0.8, Lifetime: wigeonspindle.Duration(10 * time.Minute),
+			Expiry: wigeonspindle.Duration(10 * time.Minute), Lease: wigeonspindle.Duration(3 * time.Second),
+		},
+	}
+	data, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &storer.Storer{Address: f.addresses.Store}
+	if _, err := store.Swap(context.Background(), wigeonspindle.Record{Key: launcher.ConfigKey, Value: data}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitWhole waits until a host answers whole.
+func (f *fleet) awaitWhole(t *testing.T, host int) {
+	t.Helper()
+	var got reply
+	for end := time.Now().Add(hung); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		got = post(t, f.settings[host].Caller, encoder.QueryRequest{
+			Index: "lookup", Body: "ready", Budget: wigeonspindle.Duration(time.Second),
+		})
+		if got.err == nil && got.answer.Refusal == nil && got.answer.Coverage.Whole() {
+			return
+		}
+	}
+	t.Fatalf("host %d never answered whole: got %+v, error %v", host, got.answer, got.err)
+}
+
+// control changes faults of the stand-ins.
+func (f *fleet) control(t *testing.T, path string, change any) {
+	t.Helper()
+	data, err := json.Marshal(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+f.addresses.Control+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		t.Fatalf("control %s: got status %d", path, response.StatusCode)
+	}
+}
+
+// read gets JSON from the control port.
+func (f *fleet) read(t *testing.T, path string, value any) {
+	t.Helper()
+	response, err := http.Get("http://" + f.addresses.Control + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) counts(t *testing.T) simulator.Counts {
+	t.Helper()
+	var counts simulator.Counts
+	f.read(t, "/counts", &counts)
+	return counts
+}
+
+func (f *fleet) tally(t *testing.T, body string) map[string]string {
+	t.Helper()
+	var shards map[string]string
+	f.read(t, "/tally?body="+url.QueryEscape(body), &shards)
+	return shards
+}
+
+// reply is what one request to one host led to.
+type reply struct {
+	answer  wigeonspindle.Answer
+	status  int
+	refused bool // refused is set when the connection was refused.
+	err     error
+}
+
+// post sends a query to one host on a connection of its own.
+func post(t *testing.T, host string, request any) reply {
+	t.Helper()
+	data, ok := request.([]byte)
+	if !ok {
+		var err error
+		if data, err = json.Marshal(request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hung}
+	response, err := client.Post("http://"+host+"/query", "application/json", bytes.NewReader(data))
+	if err != nil {
+		return reply{refused: strings.Contains(err.Error(), "connection refused"), err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	r := reply{status: response.StatusCode}
+	r.err = json.NewDecoder(response.Body).Decode(&r.answer)
+	return r
+}
+
+// traffic is a bounded stream of queries of several callers.
+type traffic struct {
+	mutex   sync.Mutex
+	answers map[string]wigeonspindle.Answer // answers holds one answer per request body.
+	stop    chan struct{}
+	running sync.WaitGroup
+}
+
+// drive starts callers that each send one query after the other until the traffic ends.
+func (f *fleet) drive(name string, class wigeonspindle.Class) *traffic {
+	const callers, queries = 4, 2000
+	tr := &traffic{answers: make(map[string]wigeonspindle.Answer), stop: make(chan struct{})}
+	for caller := range callers {
+		tr.running.Go(func() {
+			for i := range queries {
+				select {
+				case <-tr.stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				body := fmt.Sprintf("%s-%d-%d", name, caller, i)
+				answer := f.client.Query(context.Background(), encoder.QueryRequest{
+					Index: "lookup", Body: body, Class: class, Budget: wigeonspindle.Duration(budget),
+				})
+				tr.mutex.Lock()
+				tr.answers[body] = answer
+				tr.mutex.Unlock()
+			}
+		})
+	}
+	return tr
+}
+
+// end stops the traffic and returns the answers.
+func (tr *traffic) end() map[string]wigeonspindle.Answer {
+	close(tr.stop)
+	tr.running.Wait()
+	return tr.answers
+}
+
+// freeAddresses returns loopback addresses that no listener uses. Outgoing connections use
+// 127.0.0.1, so that none of them takes a port before its host listens.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.3:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -81,6 +81,7 @@
 			Name: fmt.Sprintf("host-%02d", i), Domain: c.deployment.Domains[i%len(c.deployment.Domains)], Cell: "main",
 			Caller: free[0], Link: free[1], Admin: free[2], Token: token,
 			Store: addresses.Store, Hosts: addresses.Hosts, Workers: c.deployment.Workers, Level: "error",
+			Body: 1 << 20, Connections: 4096,
 		})
 		listings = append(listings, wigeonspindle.Listing{Name: settings[i].Name, Link: settings[i].Link})
 	}
