--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -20,10 +20,9 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
-	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/loader"
 	"wigeonspindle.example/wigeonspindle/internal/transport/requester"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
-	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
 )
 
 // hung is the time after which a step is taken to hang; no pass depends on it.
@@ -167,19 +166,14 @@
 func (f *fleet) configure(t *testing.T) {
 	t.Helper()
 	config := wigeonspindle.Config{
-		Revision: 1, Indexes: f.addresses.Indexes,
+		Indexes: f.addresses.Indexes,
 		Domains: []wigeonspindle.Domain{{Name: "a"}, {Name: "b"}, {Name: "c"}},
 		Rules: wigeonspindle.Rules{
 			Extra: 0.05, Soft: 0.8, Lifetime: wigeonspindle.Duration(10 * time.Minute),
 			Expiry: wigeonspindle.Duration(10 * time.Minute), Lease: wigeonspindle.Duration(3 * time.Second),
 		},
 	}
-	data, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	store := &storer.Storer{Address: f.addresses.Store}
-	if _, err := store.Swap(context.Background(), wigeonspindle.Record{Key: launcher.ConfigKey, Value: data}); err != nil {
+	if err := loader.Seed(context.Background(), f.addresses.Store, config); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -115,17 +114,11 @@
 
 // configure writes the first configuration.
 func (c *cluster) configure(ctx context.Context, addresses simulator.Addresses) error {
-	config := wigeonspindle.Config{Revision: 1, Rules: rules(), Indexes: addresses.Indexes}
+	config := wigeonspindle.Config{Rules: rules(), Indexes: addresses.Indexes}
 	for _, domain := range c.deployment.Domains {
 		config.Domains = append(config.Domains, wigeonspindle.Domain{Name: domain})
 	}
-	data, err := json.Marshal(config)
-	if err != nil {
-		return errors.Wrap(err, "encode configuration")
-	}
-	store := &storer.Storer{Address: addresses.Store}
-	_, err = store.Swap(ctx, wigeonspindle.Record{Key: launcher.ConfigKey, Value: data})
-	return err
+	return Seed(ctx, addresses.Store, config)
 }
 
 // ready waits until a caller of each failure domain gets a whole answer from every index.
--- /dev/null
+++ b/internal/transport/loader/seeder.go
@@ -0,0 +1,40 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/storer"
+)
+
+// singleKey is the key of a configuration in one document, which hosts read until they
+// follow the head document.
+const singleKey = "config"
+
+// Seed writes the first configuration to the key-value service at an address, before any
+// host runs that could propose it.
+func Seed(ctx context.Context, address string, config wigeonspindle.Config) error {
+	store := &storer.Storer{Address: address}
+	writer := &committer.Committer{Store: store, Codec: encoder.Documents{}, Validator: validator.New()}
+	now := time.Now()
+	_, written, err := writer.Commit(ctx, committer.Proposal{
+		Change: wigeonspindle.Change{Identity: "seed", Author: "loader", Reason: "first configuration", Config: config},
+		Stamp:  wigeonspindle.Stamp{Wall: now}, Now: now,
+	})
+	if err != nil {
+		return errors.Wrap(err, "seed configuration")
+	}
+	data, err := json.Marshal(written)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	_, err = store.Swap(ctx, wigeonspindle.Record{Key: singleKey, Value: data})
+	return errors.Wrap(err, "seed configuration")
+}
