--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -148,11 +148,7 @@
 
 // setDomain takes a failure domain out of service or brings it back as an operator does.
 func (c *cluster) setDomain(ctx context.Context, domain string, out bool) error {
-	admin, ok := any(c.hosts[0]).(wigeonspindle.Administration)
-	if !ok {
-		return errors.New("the host offers no administration")
-	}
-	_, err := admin.SetDomain(ctx, domain, out, "experiment")
+	_, err := c.hosts[0].SetDomain(ctx, domain, out, "experiment")
 	return err
 }
 
