Add the elector: voters, holders and the planner of the roster

Voters grant a target to one holder at a time; a holder owns it while a majority of the seats granted it in one round. Acknowledgements carry the voter's terms and the time left of its longest grant, releases carry a counter, and a seat that the store reassigns stays pending until the other seats confirmed it and the store recorded that. Terms step by 65536 for an assignment in the store and by one for a hand-over, so that the two never produce the same term.

--- /dev/null
+++ b/internal/coordination/elector/cell_test.go
@@ -0,0 +1,354 @@
+package elector_test
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	lease    = 3 * time.Second
+	duration = 100 * time.Second
+)
+
+// cell simulates the hosts of a cell, their network and the store in virtual time.
+type cell struct {
+	random  *rand.Rand
+	now     time.Time
+	events  events
+	order   int
+	hosts   []*host
+	stored  wigeonspindle.Roster
+	version int
+	outage  bool
+	loss    float64
+	cuts    map[[2]string]bool
+	slow    time.Duration
+	started int
+	held    int
+	eras    map[uint64]bool
+	moves   int
+	fault   string
+}
+
+// host is one process; a restart replaces it by another incarnation under the same name.
+type host struct {
+	self    wigeonspindle.Host
+	voter   elector.Voter
+	holder  elector.Holder
+	planner elector.Planner
+	frozen  time.Time
+	wants   bool
+	leases  map[string]elector.Lease
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (c *cell) after(delay time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.events, event{at: c.now.Add(delay), order: c.order, run: run})
+}
+
+// on runs at a host after a delay; a frozen host runs it when it resumes, a restarted one never.
+func (c *cell) on(h *host, delay time.Duration, run func()) {
+	c.after(delay, func() {
+		switch {
+		case !slices.Contains(c.hosts, h):
+		case c.now.Before(h.frozen):
+			c.on(h, h.frozen.Sub(c.now)+c.jitter(20*time.Millisecond), run)
+		default:
+			run()
+			c.check()
+		}
+	})
+}
+
+func (c *cell) jitter(limit time.Duration) time.Duration {
+	return time.Duration(c.random.Int64N(int64(limit)))
+}
+
+func (c *cell) delay() time.Duration {
+	if c.random.IntN(20) == 0 {
+		return c.jitter(4 * time.Second)
+	}
+	return c.jitter(c.slow)
+}
+
+// send delivers to the current incarnation of a named host, with loss and reordering.
+func (c *cell) send(from, name string, deliver func(*host)) {
+	if c.random.Float64() < c.loss || c.cuts[[2]string{from, name}] {
+		return
+	}
+	for _, h := range c.hosts {
+		if h.self.Name == name {
+			c.on(h, c.delay(), func() { deliver(h) })
+		}
+	}
+}
+
+func (c *cell) start(name, domain string) *host {
+	c.started++
+	h := &host{leases: make(map[string]elector.Lease), self: wigeonspindle.Host{
+		Name: name, Domain: domain, Incarnation: wigeonspindle.Incarnation(fmt.Sprintf("%s#%d", name, c.started)),
+	}}
+	h.voter.Self, h.holder.Self = h.self.Incarnation, h.self.Incarnation
+	c.hosts = append(c.hosts, h)
+	c.on(h, c.jitter(time.Second), func() { c.claim(h) })
+	c.on(h, c.jitter(time.Second), func() { c.gossip(h) })
+	c.on(h, c.jitter(time.Second), func() { c.roster(h) })
+	return h
+}
+
+// claim renews the host's leases. Hosts disagree about who should own the target.
+func (c *cell) claim(h *host) {
+	if c.random.IntN(4) == 0 {
+		h.wants = !h.wants
+	}
+	targets := []wigeonspindle.ClaimTarget{{Target: "t", Level: 0.5}}
+	if h.wants {
+		message := h.holder.Claim(targets, c.now)
+		for _, seat := range h.voter.Roster().Seats {
+			c.send(h.self.Name, seat.Host, func(v *host) {
+				if grant, ok := v.voter.Claim(message, lease, c.now); ok {
+					c.send(v.self.Name, h.self.Name, func(back *host) { c.grant(back, grant) })
+				}
+			})
+		}
+	} else if _, ok := h.leases["t"]; ok {
+		delete(h.leases, "t")
+		message := h.holder.Release(targets)
+		for _, seat := range h.voter.Roster().Seats {
+			c.send(h.self.Name, seat.Host, func(v *host) { v.voter.Release(message, c.now) })
+		}
+	}
+	c.on(h, 900*time.Millisecond+c.jitter(200*time.Millisecond), func() { c.claim(h) })
+}
+
+func (c *cell) grant(h *host, grant wigeonspindle.Grant) {
+	for _, held := range h.holder.Grant(grant, c.now) {
+		if _, ok := h.leases["t"]; !ok {
+			c.held++
+		}
+		h.leases["t"] = held
+	}
+}
+
+// gossip spreads rosters and confirmations and sometimes hands the seat over.
+func (c *cell) gossip(h *host) {
+	for _, peer := range c.hosts {
+		if peer != h && (h.voter.Waiting() || c.random.IntN(3) == 0) {
+			c.notice(h, peer.self.Name)
+		}
+	}
+	if c.random.IntN(60) == 0 {
+		if to, ok := elector.Choose(h.voter.Roster(), c.live()); ok {
+			if roster, ok := h.voter.HandOver(to, c.now); ok {
+				c.moves++
+				h.holder.Offer(roster)
+			}
+		}
+	}
+	c.on(h, 400*time.Millisecond+c.jitter(200*time.Millisecond), func() { c.gossip(h) })
+}
+
+func (c *cell) notice(h *host, name string) {
+	roster, from := h.voter.Roster(), h.self.Name
+	c.send(from, name, func(peer *host) {
+		c.offer(peer, roster)
+		for i, seat := range peer.voter.Roster().Seats {
+			if ack, ok := peer.voter.Acknowledge(i, c.now); ok && seat.Host == from {
+				c.send(name, from, func(sitter *host) { sitter.voter.Acknowledged(ack, c.now) })
+			}
+		}
+	})
+}
+
+func (c *cell) offer(h *host, roster wigeonspindle.Roster) {
+	h.voter.Offer(roster, lease, c.now)
+	h.holder.Offer(roster)
+	c.eras[h.voter.Roster().Era] = true
+}
+
+// roster reads the store, plans and writes by compare-and-swap.
+func (c *cell) roster(h *host) {
+	c.after(c.delay(), func() {
+		if c.outage {
+			return
+		}
+		stored, version := c.stored, c.version
+		c.on(h, c.delay(), func() { c.plan(h, stored, version) })
+	})
+	c.on(h, time.Second+c.jitter(time.Second), func() { c.roster(h) })
+}
+
+func (c *cell) plan(h *host, stored wigeonspindle.Roster, version int) {
+	c.offer(h, stored)
+	planned, write := h.planner.Plan(c.sight(stored, h), c.now)
+	if confirmed, ok := h.voter.Confirmed(); ok {
+		planned, write = elector.Merge(stored, confirmed)
+	}
+	if !write {
+		return
+	}
+	c.after(c.delay(), func() {
+		if c.outage || c.version != version {
+			return
+		}
+		c.stored, c.version = planned, c.version+1
+		c.moves++
+		c.on(h, c.delay(), func() { c.offer(h, planned) })
+	})
+}
+
+func (c *cell) sight(stored wigeonspindle.Roster, h *host) elector.Sight {
+	sight := elector.Sight{
+		Stored: stored, Known: h.voter.Roster(), Hosts: c.live(), Heard: map[wigeonspindle.Incarnation]bool{},
+		Listed: map[string]bool{}, Dead: map[wigeonspindle.Incarnation]bool{},
+	}
+	for _, peer := range c.hosts {
+		sight.Listed[peer.self.Name] = true
+		if !c.now.Before(peer.frozen) && !c.cuts[[2]string{peer.self.Name, h.self.Name}] {
+			sight.Heard[peer.self.Incarnation] = true
+		}
+	}
+	for _, roster := range []wigeonspindle.Roster{stored, sight.Known} {
+		for _, seat := range roster.Seats {
+			for _, sitter := range []wigeonspindle.Incarnation{seat.Incarnation, seat.Previous} {
+				runs := slices.ContainsFunc(c.hosts, func(p *host) bool { return p.self.Incarnation == sitter })
+				if sitter != "" && !runs {
+					sight.Dead[sitter] = true
+				}
+			}
+		}
+	}
+	return sight
+}
+
+func (c *cell) live() []wigeonspindle.Host {
+	var hosts []wigeonspindle.Host
+	for _, h := range c.hosts {
+		if !c.now.Before(h.frozen) {
+			hosts = append(hosts, h.self)
+		}
+	}
+	return hosts
+}
+
+// disturb freezes and restarts hosts, and makes the store and the network fail.
+func (c *cell) disturb() {
+	h := c.hosts[c.random.IntN(len(c.hosts))]
+	switch c.random.IntN(8) {
+	case 0, 1:
+		h.frozen = c.now.Add(c.jitter(25 * time.Second))
+	case 2, 3:
+		c.hosts = slices.DeleteFunc(c.hosts, func(other *host) bool { return other == h })
+		c.start(h.self.Name, h.self.Domain)
+	case 4:
+		c.outage = !c.outage
+	case 5:
+		c.loss = 0.3 * c.random.Float64()
+		c.slow = time.Millisecond + c.jitter(800*time.Millisecond)
+	default:
+		c.cut()
+	}
+	c.after(c.jitter(12*time.Second), c.disturb)
+}
+
+// cut makes some pairs of hosts lose every message in one direction, or heals all.
+func (c *cell) cut() {
+	c.cuts = make(map[[2]string]bool)
+	share := max(0, 1.2*c.random.Float64()-0.4)
+	for _, from := range c.hosts {
+		for _, to := range c.hosts {
+			if from != to && c.random.Float64() < share {
+				c.cuts[[2]string{from.self.Name, to.self.Name}] = true
+			}
+		}
+	}
+}
+
+func (c *cell) check() {
+	var owners []string
+	for _, h := range c.hosts {
+		if held, ok := h.leases["t"]; ok && c.now.Before(held.Until) {
+			owners = append(owners, string(h.self.Incarnation))
+		}
+	}
+	if len(owners) > 1 && c.fault == "" {
+		c.fault = fmt.Sprintf("at %s the target has owners %v", c.now.Sub(epoch), owners)
+	}
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func simulate(seed uint64, hosts int, steady bool) *cell {
+	c := &cell{
+		random: rand.New(rand.NewPCG(seed, 7)), now: epoch, slow: 20 * time.Millisecond, eras: make(map[uint64]bool),
+	}
+	for i := range hosts {
+		c.start(fmt.Sprintf("h%d", i), fmt.Sprintf("d%d", i%3))
+	}
+	if !steady {
+		c.after(5*time.Second, c.disturb)
+	}
+	for c.now.Before(epoch.Add(duration)) && c.fault == "" {
+		next := heap.Pop(&c.events).(event)
+		c.now = next.at
+		next.run()
+	}
+	return c
+}
+
+// TestExclusive guards against two hosts that hold the lease on one target at the same time,
+// over random delay, loss, reordering, freezes, restarts, seat changes and store outages.
+func TestExclusive(t *testing.T) {
+	held, moves, eras := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		c := simulate(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "hosts"), false)
+		if c.fault != "" {
+			t.Fatal(c.fault)
+		}
+		held, moves, eras = held+c.held, moves+c.moves, eras+len(c.eras)
+	})
+	t.Logf("leases taken %d, seat changes %d, eras %d", held, moves, eras)
+	if held == 0 || moves == 0 {
+		t.Errorf("got %d leases and %d seat changes, want some of both", held, moves)
+	}
+}
--- /dev/null
+++ b/internal/coordination/elector/planner_test.go
@@ -0,0 +1,138 @@
+package elector_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
+)
+
+func hostsOf(count, domains int) []wigeonspindle.Host {
+	var hosts []wigeonspindle.Host
+	for i := range count {
+		name := fmt.Sprintf("h%02d", i)
+		hosts = append(hosts, wigeonspindle.Host{Name: name, Incarnation: wigeonspindle.Incarnation(name), Domain: fmt.Sprintf("d%d", i%domains)})
+	}
+	return hosts
+}
+
+// TestFill guards against a choice of seats that loses its majority with one domain.
+func TestFill(t *testing.T) {
+	tests := []struct{ hosts, domains, want int }{
+		{1, 1, 1},
+		{2, 2, 1},
+		{3, 3, 3},
+		{4, 4, 3},
+		{5, 3, 5},
+		{8, 4, 5},
+		{9, 3, 7},
+		{12, 3, 7},
+		{15, 4, 7},
+	}
+	for _, test := range tests {
+		roster := elector.Fill(1, hostsOf(test.hosts, test.domains))
+		if got := len(roster.Seats); got != test.want {
+			t.Errorf("%d hosts: got %d seats, want %d", test.hosts, got, test.want)
+		}
+		count := make(map[string]int)
+		for _, seat := range roster.Seats {
+			count[seat.Domain]++
+		}
+		for domain, got := range count {
+			if spare := test.want - elector.Majority(test.want); test.domains > 2 && got > max(1, spare) {
+				t.Errorf("%d hosts: got %d seats in domain %s, want at most %d", test.hosts, got, domain, spare)
+			}
+		}
+	}
+}
+
+// TestPlan guards against a new era while the old majority may still grant leases, and
+// against two pending seats at a time.
+func TestPlan(t *testing.T) {
+	hosts := hostsOf(15, 3)
+	roster := elector.Fill(3, hosts)
+	pending := elector.Fill(3, hosts)
+	spare, _ := elector.Choose(pending, hosts)
+	pending.Seats[0] = wigeonspindle.Seat{
+		Host: spare.Name, Incarnation: spare.Incarnation, Domain: spare.Domain, Term: 2 * elector.Generation,
+		Pending: true, Previous: pending.Seats[0].Incarnation, PreviousHost: pending.Seats[0].Host,
+	}
+	tests := []struct {
+		name         string
+		roster       wigeonspindle.Roster
+		silent, dead int // The last silent sitters do not answer; the last dead ones are proved dead.
+		after        time.Duration
+		era          uint64
+		changed      int
+	}{
+		{"steady", roster, 0, 0, time.Minute, 3, 0},
+		{"frozen for less than 10 s", roster, 1, 0, 9 * time.Second, 3, 0},
+		{"frozen for long", roster, 1, 0, 11 * time.Second, 3, 1},
+		{"dead sitter", roster, 1, 1, time.Second, 3, 1},
+		{"two dead sitters", roster, 2, 2, time.Second, 3, 1},
+		{"frozen majority", roster, 4, 0, time.Minute, 3, 1},
+		{"frozen majority with three dead", roster, 4, 3, time.Minute, 3, 1},
+		{"dead majority", roster, 4, 4, time.Second, 4, 7},
+		{"dead sitter while another seat is pending", pending, 1, 1, time.Second, 3, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var planner elector.Planner
+			sight := elector.Sight{
+				Stored: test.roster, Heard: make(map[wigeonspindle.Incarnation]bool),
+				Listed: make(map[string]bool), Dead: make(map[wigeonspindle.Incarnation]bool),
+			}
+			var gone []wigeonspindle.Incarnation
+			for i := range test.silent {
+				seat := test.roster.Seats[len(test.roster.Seats)-1-i]
+				gone = append(gone, seat.Incarnation)
+				if i < test.dead {
+					sight.Dead[seat.Incarnation] = true
+				}
+			}
+			for _, host := range hosts {
+				sight.Listed[host.Name] = true
+				if !slices.Contains(gone, host.Incarnation) {
+					sight.Heard[host.Incarnation] = true
+					sight.Hosts = append(sight.Hosts, host)
+				}
+			}
+			alive := sight
+			alive.Dead, alive.Hosts, alive.Heard = nil, nil, make(map[wigeonspindle.Incarnation]bool)
+			for _, host := range hosts {
+				alive.Heard[host.Incarnation] = true
+			}
+			planner.Plan(alive, epoch.Add(-time.Hour))
+			planner.Plan(sight, epoch)
+			got, _ := planner.Plan(sight, epoch.Add(test.after))
+			changed := 0
+			for i, seat := range got.Seats {
+				if seat.Incarnation != test.roster.Seats[i].Incarnation || got.Era != test.roster.Era {
+					changed++
+					if seat.Term%elector.Generation != 0 {
+						t.Errorf("term: got %d, want a multiple of %d", seat.Term, elector.Generation)
+					}
+				}
+			}
+			if got.Era != test.era || changed != test.changed {
+				t.Errorf("got era %d and %d seats changed, want %d and %d", got.Era, changed, test.era, test.changed)
+			}
+		})
+	}
+}
+
+// TestSteady guards against a cell without faults that cannot take leases.
+func TestSteady(t *testing.T) {
+	for hosts := 1; hosts <= 15; hosts++ {
+		c := simulate(uint64(hosts), hosts, true)
+		if c.fault != "" || c.held == 0 {
+			t.Errorf("%d hosts: got fault %q and %d leases, want none and some", hosts, c.fault, c.held)
+		}
+		if got, want := len(c.stored.Seats), elector.SeatCount(hosts); got != want {
+			t.Errorf("%d hosts: got %d seats, want %d", hosts, got, want)
+		}
+	}
+}
--- a/internal/protocol/converter/control.go
+++ b/internal/protocol/converter/control.go
@@ -97,6 +97,7 @@
 func encodeAcknowledgement(a wigeonspindle.Acknowledgement) *messenger.Acknowledgement {
 	return &messenger.Acknowledgement{
 		Voter: string(a.Voter), Era: a.Era, Seat: uint32(a.Seat), Term: a.Term, Incarnation: string(a.Incarnation),
+		Terms: a.Terms, Lease: int64(a.Lease),
 	}
 }
 
@@ -104,6 +105,7 @@
 	return &wigeonspindle.Acknowledgement{
 		Voter: wigeonspindle.Incarnation(m.GetVoter()), Era: m.GetEra(), Seat: int(m.GetSeat()), Term: m.GetTerm(),
 		Incarnation: wigeonspindle.Incarnation(m.GetIncarnation()),
+		Terms:       m.GetTerms(), Lease: time.Duration(m.GetLease()),
 	}
 }
 
--- a/internal/protocol/converter/converter.go
+++ b/internal/protocol/converter/converter.go
@@ -32,7 +32,7 @@
 		frame.Body = &messenger.Frame_Grant{Grant: encodeGrant(*envelope.Grant)}
 	case envelope.Release != nil:
 		frame.Body = &messenger.Frame_Release{Release: &messenger.Release{
-			Holder: string(envelope.Release.Holder), Targets: encodeClaimTargets(envelope.Release.Targets),
+			Holder: string(envelope.Release.Holder), Counter: envelope.Release.Counter, Targets: encodeClaimTargets(envelope.Release.Targets),
 		}}
 	case envelope.Acknowledgement != nil:
 		frame.Body = &messenger.Frame_Acknowledgement{Acknowledgement: encodeAcknowledgement(*envelope.Acknowledgement)}
@@ -90,7 +90,8 @@
 		envelope.Grant = decodeGrant(body.Grant)
 	case *messenger.Frame_Release:
 		envelope.Release = &wigeonspindle.Release{
-			Holder: wigeonspindle.Incarnation(body.Release.GetHolder()), Targets: decodeClaimTargets(body.Release.GetTargets()),
+			Holder: wigeonspindle.Incarnation(body.Release.GetHolder()), Counter: body.Release.GetCounter(),
+			Targets: decodeClaimTargets(body.Release.GetTargets()),
 		}
 	case *messenger.Frame_Acknowledgement:
 		envelope.Acknowledgement = decodeAcknowledgement(body.Acknowledgement)
--- a/inventory.go
+++ b/inventory.go
@@ -79,8 +79,15 @@
 	Host        string      `json:"host"`
 	Incarnation Incarnation `json:"incarnation"`
 	Domain      string      `json:"domain"`
-	// Term grows by one each time that the seat gets a new sitter.
+	// Term grows each time that the seat gets a new sitter: by one when the sitter hands it
+	// over, to the next multiple of 65536 when the store assigns it. An assignment in the
+	// store therefore always supersedes hand-overs that it did not know.
 	Term uint64 `json:"term"`
+	// Pending marks a sitter that the other seats have not confirmed yet. Previous is the
+	// sitter that it replaces, empty for an additional seat.
+	Pending      bool        `json:"pending,omitempty"`
+	Previous     Incarnation `json:"previous,omitempty"`
+	PreviousHost string      `json:"previoushost,omitempty"`
 }
 
 // Roster lists the voters that grant leases on targets.
--- a/lease.go
+++ b/lease.go
@@ -33,7 +33,10 @@
 
 // Release gives leases back before they end.
 type Release struct {
-	Holder  Incarnation
+	Holder Incarnation
+	// Counter is that of the holder's last claim, so that a voter drops a release that a
+	// newer claim overtook.
+	Counter uint64
 	Targets []ClaimTarget
 }
 
@@ -50,6 +53,9 @@
 	Seat        int
 	Term        uint64
 	Incarnation Incarnation // Incarnation is the sitter that the voter accepted.
+	Terms       []uint64    // Terms are the terms of all seats that the voter knows.
+	// Lease is the time left of the voter's longest grant.
+	Lease time.Duration
 }
 
 // Ownership maps targets to the hosts expected to hold their leases.
