--- a/interfaces.go
+++ b/interfaces.go
@@ -21,6 +21,14 @@
 	Probe(ctx context.Context, target Target) (Report, error)
 }
 
+// Opener keeps connections to targets ready.
+type Opener interface {
+	// Open opens connections to a target ahead of need, at most one for each slot.
+	Open(ctx context.Context, target Target)
+	// Forget closes the idle connections to a target.
+	Forget(target string)
+}
+
 // Report is a target's own statement about its load. It may lag or mislead.
 type Report struct {
 	Running   int      `json:"running"`
--- a/internal/coordination/elector/cell_test.go
+++ b/internal/coordination/elector/cell_test.go
@@ -14,6 +14,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/limiter"
 )
 
 func TestMain(m *testing.M) {
@@ -21,12 +22,14 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "20261204")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
 const (
 	lease    = 3 * time.Second
 	duration = 100 * time.Second
+	slots    = 2
 )
 
 // cell simulates the hosts of a cell, their network and the store in virtual time.
@@ -46,6 +49,8 @@
 	held    int
 	eras    map[uint64]bool
 	moves   int
+	work    []work
+	ran     int
 	fault   string
 }
 
@@ -56,8 +61,15 @@
 	holder  elector.Holder
 	planner elector.Planner
 	frozen  time.Time
+	limiter limiter.Limiter
 	wants   bool
-	leases  map[string]elector.Lease
+	held    bool
+}
+
+// work is an attempt in flight at the target.
+type work struct {
+	id  wigeonspindle.AttemptID
+	end time.Time
 }
 
 type event struct {
@@ -125,9 +137,10 @@
 
 func (c *cell) start(name, domain string) *host {
 	c.started++
-	h := &host{leases: make(map[string]elector.Lease), self: wigeonspindle.Host{
+	h := &host{self: wigeonspindle.Host{
 		Name: name, Domain: domain, Incarnation: wigeonspindle.Incarnation(fmt.Sprintf("%s#%d", name, c.started)),
 	}}
+	h.limiter.Target = wigeonspindle.Target{Slots: slots, Floor: 100}
 	h.voter.Self, h.holder.Self = h.self.Incarnation, h.self.Incarnation
 	c.hosts = append(c.hosts, h)
 	c.on(h, c.jitter(time.Second), func() { c.claim(h) })
@@ -142,6 +155,7 @@
 		h.wants = !h.wants
 	}
 	targets := []wigeonspindle.ClaimTarget{{Target: "t", Level: 0.5}}
+	h.limiter.Closing = !h.wants
 	if h.wants {
 		message := h.holder.Claim(targets, c.now)
 		for _, seat := range h.voter.Roster().Seats {
@@ -151,22 +165,50 @@
 				}
 			})
 		}
-	} else if _, ok := h.leases["t"]; ok {
-		delete(h.leases, "t")
+	} else if h.held && h.limiter.Running() == 0 {
+		h.held, h.limiter.Until = false, time.Time{}
 		message := h.holder.Release(targets)
 		for _, seat := range h.voter.Roster().Seats {
 			c.send(h.self.Name, seat.Host, func(v *host) { v.voter.Release(message, c.now) })
 		}
 	}
+	c.load(h)
 	c.on(h, 900*time.Millisecond+c.jitter(200*time.Millisecond), func() { c.claim(h) })
 }
 
 func (c *cell) grant(h *host, grant wigeonspindle.Grant) {
 	for _, held := range h.holder.Grant(grant, c.now) {
-		if _, ok := h.leases["t"]; !ok {
+		if !h.held {
 			c.held++
+			h.limiter.Restore(held.Level)
+		}
+		h.held, h.limiter.Until = true, held.Until
+	}
+}
+
+// load offers attempts to the host's limiter. An attempt started stays in flight at the
+// target until its end, whatever happens to the host.
+func (c *cell) load(h *host) {
+	for range c.random.IntN(4) {
+		c.ran++
+		id := wigeonspindle.AttemptID{Entry: h.self.Incarnation, Counter: uint64(c.ran)}
+		h.limiter.Offer(wigeonspindle.Attempt{ID: id, Deadline: c.now.Add(c.jitter(6 * time.Second))}, c.now)
+	}
+	h.limiter.Expire(c.now)
+	for {
+		attempt, ok := h.limiter.Next(c.now)
+		if !ok {
+			return
+		}
+		end := c.now.Add(c.jitter(4 * time.Second))
+		if end.After(attempt.Deadline) {
+			end = attempt.Deadline
 		}
-		h.leases["t"] = held
+		c.work = append(c.work, work{id: attempt.ID, end: end})
+		c.on(h, end.Sub(c.now), func() {
+			h.limiter.Done(wigeonspindle.Outcome{ID: attempt.ID, Verdict: wigeonspindle.Ran}, c.now)
+			c.load(h)
+		})
 	}
 }
 
@@ -307,12 +349,13 @@
 func (c *cell) check() {
 	var owners []string
 	for _, h := range c.hosts {
-		if held, ok := h.leases["t"]; ok && c.now.Before(held.Until) {
+		if _, ok := h.holder.Lease("t", c.now); ok {
 			owners = append(owners, string(h.self.Incarnation))
 		}
 	}
-	if len(owners) > 1 && c.fault == "" {
-		c.fault = fmt.Sprintf("at %s the target has owners %v", c.now.Sub(epoch), owners)
+	c.work = slices.DeleteFunc(c.work, func(w work) bool { return !c.now.Before(w.end) })
+	if c.fault == "" && (len(owners) > 1 || len(c.work) > slots) {
+		c.fault = fmt.Sprintf("at %s the target has owners %v and work %v", c.now.Sub(epoch), owners, c.work)
 	}
 }
 
@@ -336,18 +379,18 @@
 	return c
 }
 
-// TestExclusive guards against two hosts that hold the lease on one target at the same time,
-// over random delay, loss, reordering, freezes, restarts, seat changes and store outages.
+// TestExclusive guards against two hosts that hold the lease on one target at the same time
+// and against more work in flight at the target than its slots, over random delay, loss, reordering, freezes, restarts, seat changes and store outages.
 func TestExclusive(t *testing.T) {
-	held, moves, eras := 0, 0, 0
+	held, moves, eras, ran := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		c := simulate(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "hosts"), false)
 		if c.fault != "" {
 			t.Fatal(c.fault)
 		}
-		held, moves, eras = held+c.held, moves+c.moves, eras+len(c.eras)
+		held, moves, eras, ran = held+c.held, moves+c.moves, eras+len(c.eras), ran+c.ran
 	})
-	t.Logf("leases taken %d, seat changes %d, eras %d", held, moves, eras)
+	t.Logf("leases taken %d, seat changes %d, eras %d, attempts %d", held, moves, eras, ran)
 	if held == 0 || moves == 0 {
 		t.Errorf("got %d leases and %d seat changes, want some of both", held, moves)
 	}
--- a/internal/coordination/elector/planner.go
+++ b/internal/coordination/elector/planner.go
@@ -48,7 +48,7 @@
 	}
 	roster, changed := Merge(sight.Stored, sight.Known)
 	p.observe(roster, sight, now)
-	settled := now.Sub(p.started) >= settleTime
+	settled := now.Sub(p.started) >= settleTime || roster.Era == 0 && everyone(sight)
 	switch {
 	case changed:
 		return roster, true
@@ -135,6 +135,13 @@
 	return sight.Listed != nil && 2*known > len(sight.Listed)-len(sight.Dead)
 }
 
+// everyone reports whether every listed host can take a seat.
+func everyone(sight Sight) bool {
+	return len(sight.Listed) > 0 && !slices.ContainsFunc(slices.Collect(maps.Keys(sight.Listed)), func(name string) bool {
+		return !slices.ContainsFunc(sight.Hosts, func(host wigeonspindle.Host) bool { return host.Name == name })
+	})
+}
+
 // change proposes one changed seat. While a seat is pending only that seat may change, so
 // that the confirmations of two changes never mix.
 func (p *Planner) change(roster wigeonspindle.Roster, sight Sight, now time.Time) (wigeonspindle.Roster, bool) {
--- a/internal/coordination/elector/voter.go
+++ b/internal/coordination/elector/voter.go
@@ -66,6 +66,8 @@
 		return
 	}
 	seat := v.roster.Seats[i]
+	// No lease can be older than the first roster that the store ever held.
+	first := v.roster.Era == 1 && seat.Term == Generation && !v.sits
 	if !v.sits || v.seat != i || v.term != seat.Term {
 		v.seat, v.term, v.sits = i, seat.Term, true
 		v.ready, v.earliest = time.Time{}, time.Time{}
@@ -74,6 +76,9 @@
 	if v.ready.IsZero() && !seat.Pending {
 		// Leases granted with the help of the previous sitter end within one lease period.
 		v.ready = now.Add(lease)
+		if first {
+			v.ready = now
+		}
 		if v.earliest.After(v.ready) {
 			v.ready = v.earliest
 		}
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -11,34 +11,112 @@
 // QueueSize bounds the attempts that wait for one target.
 const QueueSize = 64
 
+const (
+	// missingTime is how long a snapshot that the target refused is not asked for again.
+	missingTime = time.Second
+	// crashWindow joins the broken connections of one crash.
+	crashWindow = time.Second
+)
+
 // Limiter decides when the attempts of one target start. The zero Until owns nothing.
 type Limiter struct {
 	Target wigeonspindle.Target
 	// Until is the end of the lease on the target.
 	Until time.Time
+	// Out marks a target whose failure domain is out of service.
+	Out bool
+	// Closing marks a target that the host gives back after its work in flight.
+	Closing bool
 
+	ramp    ramp
 	waiting []wigeonspindle.Attempt
-	running map[wigeonspindle.AttemptID]wigeonspindle.Attempt
+	running map[wigeonspindle.AttemptID]started
+	// alone is set while an attempt runs with nothing else in flight.
+	alone    bool
+	draining bool
+	missing  map[string]time.Time
+	start    string
+	cold     bool
+	crashed  time.Time
+	together int
+}
+
+type started struct {
+	attempt wigeonspindle.Attempt
+	at      time.Time
 }
 
+// Refused is a waiting attempt that will not run.
+type Refused struct {
+	Attempt wigeonspindle.Attempt
+	Refusal wigeonspindle.Refusal
+}
+
+// Restore sets the ramp level that the voters know. An unknown level, 0, is the floor.
+func (l *Limiter) Restore(level float64) { l.ramp.restore(level) }
+
+// Level returns the ramp level, from the floor to 1.
+func (l *Limiter) Level() float64 { return l.ramp.value() }
+
+// Running returns the number of attempts in flight.
+func (l *Limiter) Running() int { return len(l.running) }
+
 // Offer queues an attempt or refuses it before it ran.
 func (l *Limiter) Offer(attempt wigeonspindle.Attempt, now time.Time) *wigeonspindle.Refusal {
+	if refusal := l.refuses(now); refusal != nil {
+		return refusal
+	}
 	switch {
-	case !now.Before(l.Until):
-		return refuse(wigeonspindle.CodeNotOwner, "the host holds no lease on the target")
 	case !now.Before(attempt.Deadline):
 		return refuse(wigeonspindle.CodeExpired, "the deadline has passed")
 	case len(l.waiting) >= QueueSize:
 		return refuse(wigeonspindle.CodeOverloaded, "the queue of the target is full")
+	case now.Before(l.missing[attempt.Snapshot]):
+		return refuse(wigeonspindle.CodeNoSnapshot, "the target does not hold the snapshot")
+	case now.Add(l.wait(now)).After(attempt.Deadline):
+		return refuse(wigeonspindle.CodeOverloaded, "the expected wait exceeds the deadline")
 	}
 	l.waiting = append(l.waiting, attempt)
 	return nil
 }
 
+// refuses returns why the target receives no new work, or nil.
+func (l *Limiter) refuses(now time.Time) *wigeonspindle.Refusal {
+	switch {
+	case !now.Before(l.Until):
+		return refuse(wigeonspindle.CodeNotOwner, "the host holds no lease on the target")
+	case l.Closing:
+		return refuse(wigeonspindle.CodeNotOwner, "the host gives the target to another owner")
+	case l.Out:
+		return refuse(wigeonspindle.CodeLeaving, "the failure domain of the target is out of service")
+	case l.Target.Leaving || l.draining:
+		return refuse(wigeonspindle.CodeLeaving, "the target is leaving")
+	}
+	return nil
+}
+
+// wait estimates how long a new attempt waits for its start.
+func (l *Limiter) wait(now time.Time) time.Duration {
+	var wait time.Duration
+	if ahead := len(l.waiting) + len(l.running) - l.slots() + 1; ahead > 0 {
+		wait = time.Duration(ahead) * l.ramp.expected() / time.Duration(l.slots())
+	}
+	paced := l.ramp.next(l.Target.Floor).Sub(now) + time.Duration(len(l.waiting))*l.ramp.interval(l.Target.Floor)
+	return max(wait, paced)
+}
+
+// slots returns the number of attempts that may be in flight at the present level.
+func (l *Limiter) slots() int {
+	if l.ramp.value() < singleBelow {
+		return 1
+	}
+	return max(1, l.Target.Slots)
+}
+
 // Next returns the next attempt to send, if one may start now. Its deadline is capped by
 // the end of the lease.
 func (l *Limiter) Next(now time.Time) (wigeonspindle.Attempt, bool) {
-	if len(l.waiting) == 0 || len(l.running) >= l.Target.Slots || !now.Before(l.Until) {
+	if len(l.waiting) == 0 || !l.mayStart(now) {
 		return wigeonspindle.Attempt{}, false
 	}
 	attempt := l.waiting[0]
@@ -47,15 +125,75 @@
 		attempt.Deadline = l.Until
 	}
 	if l.running == nil {
-		l.running = make(map[wigeonspindle.AttemptID]wigeonspindle.Attempt)
+		l.running = make(map[wigeonspindle.AttemptID]started)
 	}
-	l.running[attempt.ID] = attempt
+	l.running[attempt.ID] = started{attempt: attempt, at: now}
+	l.alone = attempt.Alone
+	l.ramp.last = now
 	return attempt, true
 }
 
-// Done frees the slot of a finished attempt.
-func (l *Limiter) Done(outcome wigeonspindle.Outcome, _ time.Time) {
+func (l *Limiter) mayStart(now time.Time) bool {
+	head := l.waiting[0]
+	switch {
+	case l.refuses(now) != nil, !now.Before(head.Deadline):
+		return false
+	case len(l.running) >= l.slots(), len(l.running) > 0 && (l.alone || head.Alone):
+		return false
+	case l.Until.Sub(now) < l.ramp.expected():
+		// The attempt would end with the lease before the target can answer.
+		return false
+	}
+	return !now.Before(l.ramp.next(l.Target.Floor))
+}
+
+// Done frees the slot of a finished attempt, learns from its outcome and returns it with
+// the owner's view of the target.
+func (l *Limiter) Done(outcome wigeonspindle.Outcome, now time.Time) wigeonspindle.Outcome {
+	run, ok := l.running[outcome.ID]
+	if ok && outcome.Crashed {
+		outcome.Together = l.crash(run, now)
+	}
 	delete(l.running, outcome.ID)
+	if len(l.running) == 0 {
+		l.alone = false
+	}
+	switch {
+	case outcome.Code == wigeonspindle.CodeUnreachable, outcome.Code == wigeonspindle.CodeBroken, outcome.Code == wigeonspindle.CodeShed:
+		l.ramp.fall()
+	case outcome.Code == wigeonspindle.CodeExpired && outcome.Verdict == wigeonspindle.MayHaveRun, outcome.Answered():
+		l.ramp.completed(outcome.Took, l.Target.Floor)
+	case outcome.Code == wigeonspindle.CodeNoSnapshot:
+		if l.missing == nil {
+			l.missing = make(map[string]time.Time)
+		}
+		l.missing[outcome.Snapshot] = now.Add(missingTime)
+	case outcome.Code == wigeonspindle.CodeLeaving:
+		l.draining = true
+	}
+	outcome.Load = l.Load()
+	return outcome
+}
+
+// crash returns the number of attempts in flight when the target crashed. The connections
+// of one crash break one after the other, so that later outcomes use the first count.
+func (l *Limiter) crash(run started, now time.Time) int {
+	if now.Sub(l.crashed) > crashWindow || run.at.After(l.crashed) {
+		l.crashed, l.together = now, len(l.running)
+	}
+	return l.together
+}
+
+// Report takes the target's own statement. It can only lower the level, and a target that
+// stays cold in its reports lowers it once, because reports may mislead.
+func (l *Limiter) Report(report wigeonspindle.Report) {
+	if report.Cold && !l.cold || l.start != "" && report.Start != l.start {
+		l.ramp.fall()
+	}
+	l.cold, l.start, l.draining = report.Cold, report.Start, report.Draining
+	for _, snapshot := range report.Snapshots {
+		delete(l.missing, snapshot)
+	}
 }
 
 // Cancel removes a waiting attempt and reports whether the attempt is running instead.
@@ -70,24 +208,49 @@
 	return running
 }
 
-// Expire removes and returns the waiting attempts whose deadline has passed or, once the
-// lease has ended, all of them.
-func (l *Limiter) Expire(now time.Time) []wigeonspindle.Attempt {
-	var expired, kept []wigeonspindle.Attempt
+// Expire removes and returns the waiting attempts whose deadline has passed or, when the
+// target receives no new work any more, all of them.
+func (l *Limiter) Expire(now time.Time) []Refused {
+	refusal := l.refuses(now)
+	var refused []Refused
+	kept := l.waiting[:0]
 	for _, attempt := range l.waiting {
-		if now.Before(attempt.Deadline) && now.Before(l.Until) {
+		switch {
+		case refusal != nil:
+			refused = append(refused, Refused{Attempt: attempt, Refusal: *refusal})
+		case !now.Before(attempt.Deadline):
+			expired := refuse(wigeonspindle.CodeExpired, "the attempt waited too long")
+			refused = append(refused, Refused{Attempt: attempt, Refusal: *expired})
+		default:
 			kept = append(kept, attempt)
-		} else {
-			expired = append(expired, attempt)
 		}
 	}
 	l.waiting = kept
-	return expired
+	return refused
+}
+
+// Wake returns when Expire or Next may have something to do although nothing else happens.
+func (l *Limiter) Wake(now time.Time) (time.Time, bool) {
+	if len(l.waiting) == 0 {
+		return time.Time{}, false
+	}
+	wake := l.Until
+	for _, attempt := range l.waiting {
+		if attempt.Deadline.Before(wake) {
+			wake = attempt.Deadline
+		}
+	}
+	if paced := l.ramp.next(l.Target.Floor); paced.After(now) && paced.Before(wake) {
+		wake = paced
+	}
+	return wake, true
 }
 
 // Load returns the owner's view of the target.
 func (l *Limiter) Load() wigeonspindle.Load {
-	return wigeonspindle.Load{Waiting: len(l.waiting), Running: len(l.running), Level: 1}
+	return wigeonspindle.Load{
+		Waiting: len(l.waiting), Running: len(l.running), Level: l.ramp.value(), Expected: l.ramp.expected(),
+	}
 }
 
 func refuse(code wigeonspindle.Code, message string) *wigeonspindle.Refusal {
--- /dev/null
+++ b/internal/coordination/limiter/limiter_test.go
@@ -0,0 +1,174 @@
+package limiter_test
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/limiter"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// trace is a recorded course of one target's attempts with the stated outcomes.
+type trace struct {
+	Comment string                 `json:"comment"`
+	Slots   int                    `json:"slots"`
+	Floor   float64                `json:"floor"`
+	Until   wigeonspindle.Duration `json:"until"`
+	Level   float64                `json:"level"`
+	Steps   []struct {
+		At       wigeonspindle.Duration `json:"at"`
+		Do       string                 `json:"do"`
+		ID       uint64                 `json:"id"`
+		Deadline wigeonspindle.Duration `json:"deadline"`
+		Alone    bool                   `json:"alone"`
+		Took     wigeonspindle.Duration `json:"took"`
+		Code     wigeonspindle.Code     `json:"code"`
+		Crashed  bool                   `json:"crashed"`
+		Report   wigeonspindle.Report   `json:"report"`
+		Times    int                    `json:"times"` // Times repeats start and finish.
+		Want     float64                `json:"want"`  // Want is the level, a count or an ID.
+		Refused  wigeonspindle.Code     `json:"refused"`
+	} `json:"steps"`
+}
+
+// TestTraces replays recorded traces, each of which guards one rule of the limiter.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("traces: got %v, %v, want some", files, err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var recorded trace
+			if err := json.Unmarshal(data, &recorded); err != nil {
+				t.Fatal(err)
+			}
+			replay(t, recorded)
+		})
+	}
+}
+
+func replay(t *testing.T, r trace) {
+	l := &limiter.Limiter{
+		Target: wigeonspindle.Target{Slots: r.Slots, Floor: r.Floor}, Until: epoch.Add(r.Until.Value()),
+	}
+	l.Restore(r.Level)
+	for i, step := range r.Steps {
+		now := epoch.Add(step.At.Value())
+		id := wigeonspindle.AttemptID{Counter: step.ID}
+		got, refused := 0.0, wigeonspindle.Code("")
+		switch step.Do {
+		case "offer":
+			attempt := wigeonspindle.Attempt{ID: id, Snapshot: "v1", Deadline: epoch.Add(step.Deadline.Value()), Alone: step.Alone}
+			if refusal := l.Offer(attempt, now); refusal != nil {
+				refused = refusal.Code
+			}
+		case "next":
+			if attempt, ok := l.Next(now); ok {
+				got = float64(attempt.ID.Counter)
+				if attempt.Deadline.After(l.Until) {
+					t.Errorf("step %d: deadline %s is after the end of the lease", i, attempt.Deadline)
+				}
+			}
+		case "done":
+			outcome := wigeonspindle.Outcome{
+				ID: id, Took: step.Took.Value(), Code: step.Code, Crashed: step.Crashed, Snapshot: "v1", Verdict: wigeonspindle.Ran,
+			}
+			got = float64(l.Done(outcome, now).Together)
+		case "complete":
+			for range step.Times {
+				l.Done(wigeonspindle.Outcome{Took: step.Took.Value(), Verdict: wigeonspindle.Ran}, now)
+			}
+			got = l.Level()
+		case "level":
+			got = l.Level()
+		case "report":
+			l.Report(step.Report)
+			got = l.Level()
+		case "expire":
+			for _, expired := range l.Expire(now) {
+				got++
+				refused = expired.Refusal.Code
+			}
+		default:
+			t.Fatalf("step %d: unknown action %q", i, step.Do)
+		}
+		if got != step.Want || refused != step.Refused {
+			t.Errorf("step %d, %s at %s: got %v %q, want %v %q", i, step.Do, step.At, got, refused, step.Want, step.Refused)
+		}
+	}
+}
+
+// TestLimits guards against more work in flight than the slots, also while they change,
+// more starts than the floor allows after a fall, and company for an attempt that runs alone.
+func TestLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &limiter.Limiter{Target: wigeonspindle.Target{Slots: 2, Floor: 10}, Until: epoch.Add(time.Hour)}
+		l.Restore(rapid.SampledFrom([]float64{0, 0.3, 0.7, 1}).Draw(t, "level"))
+		now := epoch
+		var running []wigeonspindle.Attempt
+		var started time.Time
+		for i := range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "step")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "do") {
+			case 0:
+				l.Target.Slots = rapid.IntRange(1, 4).Draw(t, "slots")
+			case 1, 2, 3, 4:
+				attempt := wigeonspindle.Attempt{ID: wigeonspindle.AttemptID{Counter: uint64(i)}, Deadline: now.Add(time.Second)}
+				attempt.Alone = rapid.IntRange(0, 9).Draw(t, "alone") == 0
+				l.Offer(attempt, now)
+			default:
+				if len(running) == 0 {
+					break
+				}
+				outcome := wigeonspindle.Outcome{ID: running[0].ID, Took: 5 * time.Millisecond, Verdict: wigeonspindle.Ran}
+				if rapid.IntRange(0, 19).Draw(t, "fails") == 0 {
+					outcome.Code = wigeonspindle.CodeShed
+				}
+				running = running[1:]
+				l.Done(outcome, now)
+			}
+			l.Expire(now)
+			for {
+				level, before := l.Level(), len(running)
+				attempt, ok := l.Next(now)
+				if !ok {
+					break
+				}
+				running = append(running, attempt)
+				limit := l.Target.Slots
+				if level < 0.5 {
+					limit = 1
+				}
+				if len(running) > limit || before > 0 && (attempt.Alone || running[0].Alone) {
+					t.Fatalf("got %d in flight at level %v, want at most %d", len(running), level, limit)
+				}
+				if level <= 1.0/32 && now.Sub(started) < 100*time.Millisecond {
+					t.Fatalf("got %s between starts at the floor", now.Sub(started))
+				}
+				started = now
+			}
+		}
+	})
+}
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/state/holder"
 	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
@@ -85,6 +86,7 @@
 	}
 	h.start(h.control.run)
 	h.start(h.leases.run)
+	h.start(newRosterKeeper(h).run)
 	h.start(h.control.watch)
 	h.start(h.control.poll)
 	if err := h.server.Run(); err != nil {
@@ -143,5 +145,9 @@
 }
 
 func (h *Host) heartbeat() wigeonspindle.Heartbeat {
-	return wigeonspindle.Heartbeat{Host: h.self, Leaving: h.leaving.Load(), Revision: h.holder.Revision()}
+	roster := h.leases.Roster()
+	return wigeonspindle.Heartbeat{
+		Host: h.self, Leaving: h.leaving.Load(), Revision: h.holder.Revision(),
+		Era: roster.Era, Terms: elector.Terms(roster),
+	}
 }
--- /dev/null
+++ b/internal/transport/launcher/keeper.go
@@ -0,0 +1,176 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
+)
+
+// RosterKey is the store's key of the roster.
+const RosterKey = "roster"
+
+const (
+	keeperPeriod = time.Second
+	// keepers is the number of hosts that read the roster in the store regularly, so that
+	// the reads do not grow with the hosts of a cell.
+	keepers = 2
+	// examineTimeout bounds the connection that tells a dead sitter from a silent one.
+	examineTimeout = 500 * time.Millisecond
+)
+
+// rosterKeeper is the duty that reads and writes the roster in the store. It may wait for
+// the store; the lease loop does not.
+type rosterKeeper struct {
+	host    *Host
+	planner elector.Planner
+	links   map[string]string // links are the last known link addresses of hosts.
+}
+
+func newRosterKeeper(host *Host) *rosterKeeper {
+	return &rosterKeeper{host: host, links: make(map[string]string)}
+}
+
+func (k *rosterKeeper) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-k.host.stop:
+			cancel()
+		case <-stop:
+		}
+	}()
+	ticker := time.NewTicker(keeperPeriod)
+	defer ticker.Stop()
+	for {
+		if k.due() {
+			if err := k.keep(ctx); err != nil && ctx.Err() == nil {
+				k.host.Logger.Warn("roster not kept", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// due reports whether this host reads the store now: because it knows no roster, waits to
+// have its seat recorded or is one of the first live hosts by name.
+func (k *rosterKeeper) due() bool {
+	if k.host.leases.Roster().Era == 0 || k.host.leases.confirmed.Load() != nil {
+		return true
+	}
+	before := 0
+	for _, member := range k.host.view.Load().Members {
+		if member.Condition == wigeonspindle.Live && member.Host.Name < k.host.self.Name {
+			before++
+		}
+	}
+	return before < keepers && !k.host.leaving.Load()
+}
+
+func (k *rosterKeeper) keep(ctx context.Context) error {
+	record, err := k.host.Store.Get(ctx, RosterKey)
+	if err != nil {
+		return errors.Wrap(err, "read the roster")
+	}
+	var stored wigeonspindle.Roster
+	if record.Version > 0 {
+		if err := json.Unmarshal(record.Value, &stored); err != nil {
+			return errors.Wrap(err, "decode the roster")
+		}
+		k.offer(stored)
+	}
+	planned, write := k.planner.Plan(k.sight(ctx, stored), k.host.Clock.Now())
+	if confirmed := k.host.leases.confirmed.Swap(nil); confirmed != nil {
+		planned, write = elector.Merge(stored, *confirmed)
+	}
+	if !write {
+		return nil
+	}
+	value, err := json.Marshal(planned)
+	if err != nil {
+		return errors.Wrap(err, "encode the roster")
+	}
+	// After a conflict or a lost answer the next round reads the roster again.
+	if _, err := k.host.Store.Swap(ctx, wigeonspindle.Record{Key: RosterKey, Value: value, Version: record.Version}); err != nil {
+		return errors.Wrap(err, "write the roster")
+	}
+	k.host.Logger.Info("roster written", "era", planned.Era, "seats", len(planned.Seats))
+	k.offer(planned)
+	return nil
+}
+
+func (k *rosterKeeper) offer(roster wigeonspindle.Roster) {
+	k.host.leases.inputs.Offer(leaseInput{offered: &roster})
+}
+
+// sight gathers what this host knows of its cell.
+func (k *rosterKeeper) sight(ctx context.Context, stored wigeonspindle.Roster) elector.Sight {
+	sight := elector.Sight{
+		Stored: stored, Known: k.host.leases.Roster(),
+		Heard: make(map[wigeonspindle.Incarnation]bool), Dead: make(map[wigeonspindle.Incarnation]bool),
+	}
+	current := make(map[string]wigeonspindle.Incarnation)
+	for _, member := range k.host.view.Load().Members {
+		k.links[member.Host.Name] = member.Host.Link
+		switch member.Condition {
+		case wigeonspindle.Live:
+			if member.Host.Incarnation != k.host.self.Incarnation || !k.host.leaving.Load() {
+				sight.Hosts = append(sight.Hosts, member.Host)
+			}
+			fallthrough
+		case wigeonspindle.Leaving, wigeonspindle.Cut:
+			sight.Heard[member.Host.Incarnation] = true
+			current[member.Host.Name] = member.Host.Incarnation
+		}
+	}
+	if listings, err := k.host.Lister.List(ctx); err == nil {
+		sight.Listed = make(map[string]bool)
+		for _, listing := range listings {
+			sight.Listed[listing.Name] = true
+			k.links[listing.Name] = listing.Link
+		}
+	}
+	for _, roster := range []wigeonspindle.Roster{sight.Stored, sight.Known} {
+		for _, seat := range roster.Seats {
+			k.examine(ctx, seat.Host, seat.Incarnation, current, &sight)
+			k.examine(ctx, seat.PreviousHost, seat.Previous, current, &sight)
+		}
+	}
+	return sight
+}
+
+// examine finds out whether a sitter that is not heard is dead: another incarnation answers
+// under its name, or its address refuses connections. A timeout proves nothing.
+func (k *rosterKeeper) examine(ctx context.Context, name string, sitter wigeonspindle.Incarnation, current map[string]wigeonspindle.Incarnation, sight *elector.Sight) {
+	if sitter == "" || sight.Heard[sitter] || sight.Dead[sitter] {
+		return
+	}
+	if other := current[name]; other != "" && other != sitter {
+		sight.Dead[sitter] = true
+		return
+	}
+	link := k.links[name]
+	if link == "" {
+		return
+	}
+	dialer := net.Dialer{Timeout: examineTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", link)
+	if err == nil {
+		_ = conn.Close()
+	} else if errors.Is(err, syscall.ECONNREFUSED) {
+		sight.Dead[sitter] = true
+	}
+}
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
 )
 
 // linkHandler routes what arrives on links to the rings of the duties.
@@ -65,6 +66,10 @@
 		return h.routeOutcomes(message.Outcomes)
 	case message.Claim != nil, message.Grant != nil, message.Release != nil, message.Notice != nil, message.Acknowledgement != nil:
 		return h.leases.inputs.Offer(leaseInput{message: message, reply: reply})
+	case message.Heartbeat != nil:
+		if roster := h.leases.Roster(); reply != nil && elector.Behind(message.Heartbeat.Era, message.Heartbeat.Terms, roster) {
+			reply(wigeonspindle.Envelope{Notice: &wigeonspindle.Notice{Roster: roster}})
+		}
 	}
 	return h.control.inputs.Offer(controlInput{message: message, reply: reply})
 }
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/limiter"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
@@ -24,32 +23,36 @@
 	owned  map[string]*ownedTarget
 }
 
-// targetInput is one message to a target loop. Exactly one of attempt, cancel and lease is
-// set.
+// targetInput is one message to a target loop. Exactly one of attempt, cancel, lease and
+// report is set.
 type targetInput struct {
 	attempt *wigeonspindle.Attempt
 	reply   wigeonspindle.Reply
 	cancel  *wigeonspindle.Cancel
 	lease   *targetLease
+	report  *targetReport
 }
 
-// targetLease gives the loop a lease on a target or, with a zero Until, takes it away.
+// targetLease tells the loop what the host may do with a target.
 type targetLease struct {
 	target wigeonspindle.Target
-	until  time.Time
+	number uint64 // number tells this holding of the target apart from earlier ones.
+	// until is the end of the lease; zero while the host only prepares to own the target.
+	until time.Time
+	// fresh marks a lease that does not continue an earlier one; level is then the ramp level
+	// that the voters know, 0 for none.
+	fresh bool
+	level float64
+	// out marks a target whose failure domain is out of service.
+	out bool
+	// closing gives the target back after the work in flight.
+	closing bool
 }
 
-type ownedTarget struct {
-	limiter *limiter.Limiter
-	work    *queuer.Ring[sendWork]
-	replies map[wigeonspindle.AttemptID]wigeonspindle.Reply
-	cancels map[wigeonspindle.AttemptID]context.CancelFunc
-	stop    chan struct{}
-}
-
-type sendWork struct {
-	ctx     context.Context
-	attempt wigeonspindle.Attempt
+// targetReport is a target's statement about its load.
+type targetReport struct {
+	target string
+	report wigeonspindle.Report
 }
 
 func newTargetLoop(host *Host) *targetLoop {
@@ -61,22 +64,49 @@
 	}
 }
 
+// run waits for inputs, outcomes and the next deadline or start of a waiting attempt, so
+// that an idle host does not wake up.
 func (l *targetLoop) run() {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
+		l.arm(timer)
 		select {
 		case <-l.host.stop:
 			for _, owned := range l.owned {
-				l.drop(owned)
+				owned.abandon()
 			}
 			return
 		case input := <-l.inputs.C():
 			l.input(input)
 		case outcome := <-l.done.C():
 			l.finish(outcome)
-		case <-ticker.C:
-			l.tick()
+		case <-timer.C:
+			l.wake()
+		}
+	}
+}
+
+// arm sets the timer to the earliest wake time of the owned targets.
+func (l *targetLoop) arm(timer *time.Timer) {
+	var earliest time.Time
+	for _, owned := range l.owned {
+		if !owned.wake.IsZero() && (earliest.IsZero() || owned.wake.Before(earliest)) {
+			earliest = owned.wake
+		}
+	}
+	if earliest.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(max(0, earliest.Sub(l.host.Clock.Now())))
+}
+
+func (l *targetLoop) wake() {
+	now := l.host.Clock.Now()
+	for _, owned := range l.owned {
+		if !owned.wake.IsZero() && !now.Before(owned.wake) {
+			l.advance(owned)
 		}
 	}
 }
@@ -89,38 +119,35 @@
 		l.offer(*input.attempt, input.reply)
 	case input.cancel != nil:
 		l.cancel(*input.cancel)
+	case input.report != nil:
+		if owned := l.owned[input.report.target]; owned != nil {
+			l.observe(owned, func() { owned.limiter.Report(input.report.report) })
+			l.advance(owned)
+		}
 	}
 }
 
+// lease puts a lease or changed limits in force. Work in flight is not touched: the limiter
+// counts it against the new limits.
 func (l *targetLoop) lease(lease targetLease) {
 	owned := l.owned[lease.target.Name]
 	if owned == nil {
-		owned = &ownedTarget{
-			limiter: &limiter.Limiter{}, work: queuer.New[sendWork](lease.target.Slots),
-			replies: make(map[wigeonspindle.AttemptID]wigeonspindle.Reply),
-			cancels: make(map[wigeonspindle.AttemptID]context.CancelFunc),
-			stop:    make(chan struct{}),
+		if lease.closing {
+			l.host.leases.inputs.Offer(leaseInput{closed: &closedTarget{name: lease.target.Name, number: lease.number}})
+			return
 		}
+		owned = newOwnedTarget(l, lease.target)
 		l.owned[lease.target.Name] = owned
-		for range lease.target.Slots {
-			l.host.start(func() { l.send(lease.target, owned) })
-		}
 	}
-	owned.limiter.Target, owned.limiter.Until = lease.target, lease.until
-}
-
-// send is the duty of one slot of a target: it runs one attempt at a time.
-func (l *targetLoop) send(target wigeonspindle.Target, owned *ownedTarget) {
-	for {
-		select {
-		case <-owned.stop:
-			return
-		case work := <-owned.work.C():
-			outcome := l.host.Sender.Send(work.ctx, target, work.attempt)
-			if !l.done.Put(outcome, l.host.stop) {
-				return
-			}
-		}
+	owned.resize(lease.target)
+	owned.number = lease.number
+	if lease.fresh {
+		owned.limiter.Restore(lease.level)
+	}
+	owned.limiter.Until, owned.limiter.Out, owned.limiter.Closing = lease.until, lease.out, lease.closing
+	l.advance(owned)
+	if l.owned[lease.target.Name] != nil {
+		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load()}})
 	}
 }
 
@@ -131,24 +158,55 @@
 		return
 	}
 	if refusal := owned.limiter.Offer(attempt, l.host.Clock.Now()); refusal != nil {
-		l.answer(failed(attempt, refusal.Verdict, refusal.Code, refusal.Message), reply)
+		outcome := failed(attempt, refusal.Verdict, refusal.Code, refusal.Message)
+		outcome.Load = owned.limiter.Load()
+		l.answer(outcome, reply)
 		return
 	}
 	owned.replies[attempt.ID] = reply
 	l.advance(owned)
 }
 
-// advance starts every attempt that may start now.
+// advance refuses what waited too long, starts every attempt that may start now and gives
+// the target back when it is closing and its last attempt has finished.
 func (l *targetLoop) advance(owned *ownedTarget) {
+	now := l.host.Clock.Now()
+	for _, refused := range owned.limiter.Expire(now) {
+		reply := owned.replies[refused.Attempt.ID]
+		delete(owned.replies, refused.Attempt.ID)
+		outcome := failed(refused.Attempt, refused.Refusal.Verdict, refused.Refusal.Code, refused.Refusal.Message)
+		outcome.Load = owned.limiter.Load()
+		l.answer(outcome, reply)
+	}
 	for {
-		attempt, ok := owned.limiter.Next(l.host.Clock.Now())
+		attempt, ok := owned.limiter.Next(now)
 		if !ok {
-			return
+			break
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		owned.cancels[attempt.ID] = cancel
 		// The ring has room because the limiter starts at most one attempt per slot.
-		owned.work.Offer(sendWork{ctx: ctx, attempt: attempt})
+		owned.work.Offer(sendWork{ctx: ctx, target: owned.limiter.Target, attempt: attempt})
+	}
+	owned.wake = time.Time{}
+	if wake, ok := owned.limiter.Wake(now); ok {
+		owned.wake = wake
+	}
+	if owned.limiter.Closing && owned.limiter.Running() == 0 {
+		l.close(owned)
+	}
+}
+
+// close gives the target back. The lease loop releases the lease at the voters.
+func (l *targetLoop) close(owned *ownedTarget) {
+	name := owned.limiter.Target.Name
+	if !l.host.leases.inputs.Offer(leaseInput{closed: &closedTarget{name: name, number: owned.number, level: owned.limiter.Level()}}) {
+		return // The lease loop asks again.
+	}
+	owned.abandon()
+	delete(l.owned, name)
+	if opener, ok := l.host.Sender.(wigeonspindle.Opener); ok {
+		opener.Forget(name)
 	}
 }
 
@@ -157,12 +215,11 @@
 	if owned == nil {
 		return
 	}
-	owned.limiter.Done(outcome, l.host.Clock.Now())
+	l.observe(owned, func() { outcome = owned.limiter.Done(outcome, l.host.Clock.Now()) })
 	if cancel := owned.cancels[outcome.ID]; cancel != nil {
 		cancel()
 		delete(owned.cancels, outcome.ID)
 	}
-	outcome.Load = owned.limiter.Load()
 	if reply := owned.replies[outcome.ID]; reply != nil {
 		delete(owned.replies, outcome.ID)
 		l.answer(outcome, reply)
@@ -170,6 +227,22 @@
 	l.advance(owned)
 }
 
+// observe records when the target became cold or warm by what the function tells its limiter.
+func (l *targetLoop) observe(owned *ownedTarget, tell func()) {
+	before := owned.limiter.Level()
+	tell()
+	event := wigeonspindle.Event{Target: owned.limiter.Target.Name}
+	switch after := owned.limiter.Level(); {
+	case after < before:
+		event.Kind = wigeonspindle.EventCooled
+	case after >= 1 && before < 1:
+		event.Kind = wigeonspindle.EventRamped
+	default:
+		return
+	}
+	l.host.recorder.Record(event)
+}
+
 func (l *targetLoop) cancel(cancel wigeonspindle.Cancel) {
 	owned := l.owned[cancel.Target]
 	if owned == nil {
@@ -179,25 +252,7 @@
 		owned.cancels[cancel.ID]()
 	}
 	delete(owned.replies, cancel.ID)
-}
-
-func (l *targetLoop) tick() {
-	now := l.host.Clock.Now()
-	for _, owned := range l.owned {
-		for _, attempt := range owned.limiter.Expire(now) {
-			reply := owned.replies[attempt.ID]
-			delete(owned.replies, attempt.ID)
-			l.answer(failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeExpired, "the attempt waited too long"), reply)
-		}
-		l.advance(owned)
-	}
-}
-
-func (l *targetLoop) drop(owned *ownedTarget) {
-	for _, cancel := range owned.cancels {
-		cancel()
-	}
-	close(owned.stop)
+	l.advance(owned)
 }
 
 func (l *targetLoop) answer(outcome wigeonspindle.Outcome, reply wigeonspindle.Reply) {
--- a/internal/transport/sender/sender.go
+++ b/internal/transport/sender/sender.go
@@ -4,14 +4,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,17 +20,21 @@
 
 // Limits of the exchange with a target.
 const (
-	dialTimeout = time.Second
-	idleTimeout = time.Minute
-	maxAnswer   = 4 << 20
+	dialTimeout  = time.Second
+	idleTimeout  = time.Minute
+	probeTimeout = time.Second
+	maxAnswer    = 4 << 20
+	maxReport    = 64 << 10
 )
 
-// Sender implements wigeonspindle.Sender with one connection pool per target.
+// Sender implements wigeonspindle.Sender, Prober and Opener with one connection pool per
+// target.
 type Sender struct {
 	Clock wigeonspindle.Clock
 
-	mutex sync.Mutex
-	pools map[string]*http.Client
+	mutex   sync.Mutex
+	pools   map[string]*pool
+	waiting sync.WaitGroup
 }
 
 // Send runs the attempt and returns its outcome.
@@ -48,117 +50,140 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	var touched atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// From here on bytes of the request may leave the host.
-		GotConn: func(httptrace.GotConnInfo) { touched.Store(true) },
-	})
-	response, err := s.exchange(ctx, target, attempt, remaining)
-	if err == nil {
-		defer func() { _ = response.Body.Close() }()
-		outcome = classify(outcome, response)
-	} else {
-		outcome = s.broken(ctx, outcome, touched.Load(), err)
-	}
+	exchange := &exchange{sender: s, pool: s.pool(target), started: started, deadline: attempt.Deadline}
+	ctx, stop := exchange.watch(ctx, attempt.Class == wigeonspindle.Idempotent)
+	defer stop()
+	outcome = exchange.run(ctx, outcome, attempt, remaining)
 	outcome.Took = s.Clock.Now().Sub(started)
+	if outcome.Verdict == wigeonspindle.Ran {
+		exchange.pool.answer(started, outcome.Took)
+	}
 	return outcome
 }
 
-func (s *Sender) exchange(ctx context.Context, target wigeonspindle.Target, attempt wigeonspindle.Attempt, remaining time.Duration) (*http.Response, error) {
-	url := "http://" + target.Address + "/run"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(attempt.Body))
+// Probe asks a target for its load report on a new connection.
+func (s *Sender) Probe(ctx context.Context, target wigeonspindle.Target) (wigeonspindle.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	pool := s.pool(target)
+	client := pool.probes
+	if half(target) < 2 {
+		client = pool.client
+	}
+	return s.report(ctx, client, target)
+}
+
+// Open opens one connection for each slot, if the budget allows, by concurrent reports.
+func (s *Sender) Open(ctx context.Context, target wigeonspindle.Target) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	pool := s.pool(target)
+	var opening sync.WaitGroup
+	for range min(target.Slots, half(target)-1) {
+		opening.Go(func() { _, _ = s.report(ctx, pool.client, target) })
+	}
+	opening.Wait()
+}
+
+func (s *Sender) report(ctx context.Context, client *http.Client, target wigeonspindle.Target) (wigeonspindle.Report, error) {
+	var report wigeonspindle.Report
+	exchange := &exchange{sender: s, deadline: s.Clock.Now().Add(probeTimeout)}
+	request, err := http.NewRequestWithContext(exchange.trace(ctx), http.MethodGet, "http://"+target.Address+"/load", nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return report, errors.Wrap(err, "build load request")
 	}
-	request.Header.Set(encoder.HeaderSnapshot, attempt.Snapshot)
-	request.Header.Set(encoder.HeaderShard, attempt.Shard)
-	request.Header.Set(encoder.HeaderTimeout, strconv.FormatFloat(float64(remaining)/float64(time.Millisecond), 'f', 3, 64))
-	request.Header.Set(encoder.HeaderExpires, strconv.FormatInt(attempt.Deadline.UnixMilli(), 10))
-	if attempt.Class == wigeonspindle.Once {
-		request.Header.Set(encoder.HeaderIdentity, encoder.FormatIdentity(attempt.Identity))
+	response, err := client.Do(request)
+	if err != nil {
+		return report, errors.Wrapf(err, "load of target %s", target.Name)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Newf("load of target %s: status %d", target.Name, response.StatusCode)
 	}
-	return s.pool(target).Do(request)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReport))
+	if err != nil {
+		return report, errors.Wrapf(err, "load of target %s", target.Name)
+	}
+	// Targets may report more than this version knows, so that unknown fields are allowed.
+	return report, errors.Wrapf(json.Unmarshal(data, &report), "load of target %s", target.Name)
 }
 
-func (s *Sender) pool(target wigeonspindle.Target) *http.Client {
+// Forget closes the idle connections to a target.
+func (s *Sender) Forget(target string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.pools == nil {
-		s.pools = make(map[string]*http.Client)
-	}
-	client := s.pools[target.Name]
-	if client == nil {
-		client = &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			// The owner uses at most half of the connections, so that those of the previous
-			// owner fit beside its own.
-			MaxConnsPerHost:     max(1, target.Connections/2),
-			MaxIdleConnsPerHost: target.Slots,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}}
-		s.pools[target.Name] = client
-	}
-	return client
+	if pool := s.pools[target]; pool != nil {
+		pool.close()
+	}
 }
 
-// Close closes the idle connections of all targets.
+// Close closes the idle connections of all targets and waits for examinations of silent
+// connections.
 func (s *Sender) Close() error {
+	s.waiting.Wait()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, client := range s.pools {
-		client.CloseIdleConnections()
+	for _, pool := range s.pools {
+		pool.close()
 	}
 	return nil
 }
 
-// classify turns a response into an outcome.
-func classify(outcome wigeonspindle.Outcome, response *http.Response) wigeonspindle.Outcome {
-	switch response.Header.Get(encoder.HeaderRefused) {
-	case encoder.RefusedShed:
-		return fail(outcome, wigeonspindle.NotRun, wigeonspindle.CodeShed, "the target shed the request")
-	case encoder.RefusedSnapshot:
-		return fail(outcome, wigeonspindle.NotRun, wigeonspindle.CodeNoSnapshot, "the target does not hold the snapshot")
-	case encoder.RefusedDraining:
-		return fail(outcome, wigeonspindle.NotRun, wigeonspindle.CodeLeaving, "the target is draining")
-	case encoder.RefusedExpired:
-		return fail(outcome, wigeonspindle.NotRun, wigeonspindle.CodeExpired, "the request expired before it started")
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-	switch {
-	case err != nil:
-		outcome.Crashed = true
-		return fail(outcome, wigeonspindle.MayHaveRun, wigeonspindle.CodeBroken, err.Error())
-	case len(body) > maxAnswer:
-		return fail(outcome, wigeonspindle.Ran, wigeonspindle.CodeTooLarge, "the answer exceeds the limit")
-	case response.StatusCode != http.StatusOK:
-		message := fmt.Sprintf("the target answered with status %d", response.StatusCode)
-		return fail(outcome, wigeonspindle.MayHaveRun, wigeonspindle.CodeFailed, message)
-	}
-	outcome.Verdict, outcome.Body = wigeonspindle.Ran, body
-	outcome.Snapshot = response.Header.Get(encoder.HeaderSnapshot)
-	return outcome
+// pool returns the connections to a target. A changed target gets a new pool with the same
+// budget, while exchanges in flight finish in the old one.
+func (s *Sender) pool(target wigeonspindle.Target) *pool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.pools == nil {
+		s.pools = make(map[string]*pool)
+	}
+	known := s.pools[target.Name]
+	if known != nil && known.same(target) {
+		return known
+	}
+	limit := &budget{}
+	if known != nil {
+		known.close()
+		limit = known.budget
+	}
+	limit.setLimit(half(target))
+	s.pools[target.Name] = newPool(target, limit, s.Clock)
+	return s.pools[target.Name]
 }
 
-// broken classifies an exchange without a response.
-func (s *Sender) broken(ctx context.Context, outcome wigeonspindle.Outcome, touched bool, err error) wigeonspindle.Outcome {
-	verdict := wigeonspindle.NotRun
-	if touched {
-		verdict = wigeonspindle.MayHaveRun
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return fail(outcome, verdict, wigeonspindle.CodeCancelled, "the attempt was cancelled")
-	case errors.Is(err, context.DeadlineExceeded):
-		return fail(outcome, verdict, wigeonspindle.CodeExpired, "the target did not answer in time")
-	case touched:
-		outcome.Crashed = true
-		return fail(outcome, verdict, wigeonspindle.CodeBroken, err.Error())
-	}
-	return fail(outcome, verdict, wigeonspindle.CodeUnreachable, err.Error())
+// build returns the HTTP request of an attempt.
+func build(ctx context.Context, target wigeonspindle.Target, attempt wigeonspindle.Attempt, remaining time.Duration) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+"/run", bytes.NewReader(attempt.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	request.Header.Set(encoder.HeaderSnapshot, attempt.Snapshot)
+	request.Header.Set(encoder.HeaderShard, attempt.Shard)
+	request.Header.Set(encoder.HeaderTimeout, strconv.FormatFloat(float64(remaining)/float64(time.Millisecond), 'f', 3, 64))
+	request.Header.Set(encoder.HeaderExpires, strconv.FormatInt(attempt.Deadline.UnixMilli(), 10))
+	if attempt.Class == wigeonspindle.Once {
+		request.Header.Set(encoder.HeaderIdentity, encoder.FormatIdentity(attempt.Identity))
+	}
+	return request, nil
 }
 
 func fail(outcome wigeonspindle.Outcome, verdict wigeonspindle.Verdict, code wigeonspindle.Code, message string) wigeonspindle.Outcome {
 	outcome.Verdict, outcome.Code, outcome.Message = verdict, code, message
 	return outcome
 }
+
+// refusals are the reasons of a target that refused a request before running it.
+var refusals = map[string]struct {
+	code    wigeonspindle.Code
+	message string
+}{
+	encoder.RefusedShed:     {wigeonspindle.CodeShed, "the target shed the request"},
+	encoder.RefusedSnapshot: {wigeonspindle.CodeNoSnapshot, "the target does not hold the snapshot"},
+	encoder.RefusedDraining: {wigeonspindle.CodeLeaving, "the target is draining"},
+	encoder.RefusedExpired:  {wigeonspindle.CodeExpired, "the request expired before it started"},
+}
+
+// statusFailure describes an answer with an unexpected status.
+func statusFailure(status int) string {
+	return fmt.Sprintf("the target answered with status %d", status)
+}
