--- a/internal/protocol/converter/control.go
+++ b/internal/protocol/converter/control.go
@@ -63,7 +63,7 @@
 func decodeClaimTargets(messages []*messenger.ClaimTarget) []wigeonspindle.ClaimTarget {
 	targets := make([]wigeonspindle.ClaimTarget, 0, len(messages))
 	for _, m := range messages {
-		targets = append(targets, wigeonspindle.ClaimTarget{Target: m.GetTarget(), Level: m.GetLevel()})
+		targets = append(targets, wigeonspindle.ClaimTarget{Target: m.GetTarget(), Level: levelOf(m.GetLevel())})
 	}
 	return targets
 }
@@ -97,6 +97,7 @@
 func encodeAcknowledgement(a wigeonspindle.Acknowledgement) *messenger.Acknowledgement {
 	return &messenger.Acknowledgement{
 		Voter: string(a.Voter), Era: a.Era, Seat: uint32(a.Seat), Term: a.Term, Incarnation: string(a.Incarnation),
+		Terms: a.Terms, Lease: int64(a.Lease),
 	}
 }
 
@@ -104,6 +105,7 @@
 	return &wigeonspindle.Acknowledgement{
 		Voter: wigeonspindle.Incarnation(m.GetVoter()), Era: m.GetEra(), Seat: int(m.GetSeat()), Term: m.GetTerm(),
 		Incarnation: wigeonspindle.Incarnation(m.GetIncarnation()),
+		Terms:       m.GetTerms(), Lease: time.Duration(m.GetLease()),
 	}
 }
 
@@ -116,7 +118,7 @@
 
 func decodeSuspicion(m *messenger.Suspicion, now time.Time) *wigeonspindle.Suspicion {
 	return &wigeonspindle.Suspicion{
-		Fingerprint: m.GetFingerprint(), Points: m.GetPoints(), Target: m.GetTarget(),
+		Fingerprint: m.GetFingerprint(), Points: pointsOf(m.GetPoints()), Target: m.GetTarget(),
 		Expires: now.Add(time.Duration(m.GetRemaining())), Cleared: m.GetCleared(),
 	}
 }
--- a/internal/protocol/converter/converter.go
+++ b/internal/protocol/converter/converter.go
@@ -32,7 +32,7 @@
 		frame.Body = &messenger.Frame_Grant{Grant: encodeGrant(*envelope.Grant)}
 	case envelope.Release != nil:
 		frame.Body = &messenger.Frame_Release{Release: &messenger.Release{
-			Holder: string(envelope.Release.Holder), Targets: encodeClaimTargets(envelope.Release.Targets),
+			Holder: string(envelope.Release.Holder), Counter: envelope.Release.Counter, Targets: encodeClaimTargets(envelope.Release.Targets),
 		}}
 	case envelope.Acknowledgement != nil:
 		frame.Body = &messenger.Frame_Acknowledgement{Acknowledgement: encodeAcknowledgement(*envelope.Acknowledgement)}
@@ -90,7 +90,8 @@
 		envelope.Grant = decodeGrant(body.Grant)
 	case *messenger.Frame_Release:
 		envelope.Release = &wigeonspindle.Release{
-			Holder: wigeonspindle.Incarnation(body.Release.GetHolder()), Targets: decodeClaimTargets(body.Release.GetTargets()),
+			Holder: wigeonspindle.Incarnation(body.Release.GetHolder()), Counter: body.Release.GetCounter(),
+			Targets: decodeClaimTargets(body.Release.GetTargets()),
 		}
 	case *messenger.Frame_Acknowledgement:
 		envelope.Acknowledgement = decodeAcknowledgement(body.Acknowledgement)
@@ -111,7 +112,10 @@
 	switch body := frame.GetBody().(type) {
 	case *messenger.Frame_Forwarded:
 		envelope.Forwarded = &wigeonspindle.Forwarded{Counter: body.Forwarded.GetCounter()}
-		return errors.Wrap(json.Unmarshal(body.Forwarded.GetAnswer(), &envelope.Forwarded.Answer), "decode forwarded answer")
+		err := json.Unmarshal(body.Forwarded.GetAnswer(), &envelope.Forwarded.Answer)
+		// An answer without a verdict gives no promise that the request was not run.
+		envelope.Forwarded.Answer.Verdict = verdictOf(uint32(envelope.Forwarded.Answer.Verdict))
+		return errors.Wrap(err, "decode forwarded answer")
 	case *messenger.Frame_Notice:
 		envelope.Notice = &wigeonspindle.Notice{}
 		return errors.Wrap(json.Unmarshal(body.Notice.GetRoster(), &envelope.Notice.Roster), "decode roster")
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -67,12 +67,13 @@
 	}
 	f := &fleet{targets: &targets{runs: make(map[string]int)}, meter: &meter{dropped: make(map[string]int)}}
 	store := &memory{records: make(map[string]wigeonspindle.Record)}
-	s.seed(t, store, index)
+	publish(t, store, wigeonspindle.Config{Rules: s.rules, Domains: s.domains(), Indexes: []wigeonspindle.Index{index}})
 	for i := range s.hosts {
 		domain := string(rune('a' + i))
-		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Link: free(t), Workers: 2}
-		f.links = append(f.links, newProxy(t, settings.Link))
-		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: f.links[i].listener.Addr().String()})
+		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", Caller: free(t), Listen: free(t), Workers: 2}
+		f.links = append(f.links, newProxy(t, settings.Listen))
+		settings.Link = f.links[i].listener.Addr().String()
+		store.listings = append(store.listings, wigeonspindle.Listing{Name: settings.Name, Link: settings.Link})
 		f.hosts = append(f.hosts, &launcher.Host{
 			Settings: settings, Clock: s.clock, Logger: log.New(io.Discard), Store: store, Lister: store,
 			Sender: f.targets, Meter: f.meter,
@@ -89,6 +90,15 @@
 	return f
 }
 
+// domains returns the failure domains of the hosts and the replicas.
+func (s setup) domains() []wigeonspindle.Domain {
+	var domains []wigeonspindle.Domain
+	for i := range max(s.hosts, 2) {
+		domains = append(domains, wigeonspindle.Domain{Name: string(rune('a' + i))})
+	}
+	return domains
+}
+
 // await waits until a host gives whole answers and knows all others.
 func (f *fleet) await(t testing.TB, host, shards int) {
 	t.Helper()
@@ -102,22 +112,6 @@
 	t.Fatalf("host %d gave no whole answer", host)
 }
 
-// seed puts the index in force with the rules of the setup, or the default where it has none.
-func (s setup) seed(t testing.TB, store wigeonspindle.Store, index wigeonspindle.Index) {
-	t.Helper()
-	rules := validator.DefaultRules()
-	rules.Extra, rules.Canary = s.rules.Extra, s.rules.Canary
-	rules.Soft = cmp.Or(s.rules.Soft, rules.Soft)
-	rules.Lifetime, rules.Expiry = cmp.Or(s.rules.Lifetime, rules.Lifetime), cmp.Or(s.rules.Expiry, rules.Expiry)
-	change := wigeonspindle.Change{Identity: "seed", Author: "test", Config: wigeonspindle.Config{
-		Rules: rules, Domains: []wigeonspindle.Domain{{Name: "a"}, {Name: "b"}}, Indexes: []wigeonspindle.Index{index},
-	}}
-	c := &committer.Committer{Store: store, Codec: encoder.Documents{}, Validator: validator.New()}
-	if _, _, err := c.Commit(t.Context(), committer.Proposal{Change: change, Now: time.Now()}); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // close stops hosts at once, and the links once all hosts are stopped.
 func (f *fleet) close(hosts ...*launcher.Host) {
 	stopped, cancel := context.WithCancel(context.Background())
@@ -196,14 +190,31 @@
 	return outcome
 }
 
-// memory is a store and a host list in this process. Its watches end only with ctx, because
-// the tests change nothing after the start.
+// memory is a store and a host list in this process.
 type memory struct {
 	mutex    sync.Mutex
 	records  map[string]wigeonspindle.Record
+	changed  chan struct{} // changed is closed at the next write.
 	listings []wigeonspindle.Listing
 }
 
+// publish writes a configuration. Rules that a test leaves out have the default values,
+// except Extra and Canary, whose zero values mean something.
+func publish(t testing.TB, store wigeonspindle.Store, config wigeonspindle.Config) {
+	t.Helper()
+	defaults := validator.DefaultRules()
+	rules := &config.Rules
+	rules.Soft = cmp.Or(rules.Soft, defaults.Soft)
+	rules.Lifetime = cmp.Or(rules.Lifetime, defaults.Lifetime)
+	rules.Expiry = cmp.Or(rules.Expiry, defaults.Expiry)
+	rules.Lease = cmp.Or(rules.Lease, defaults.Lease)
+	c := &committer.Committer{Store: store, Codec: encoder.Documents{}, Validator: validator.New()}
+	change := wigeonspindle.Change{Identity: "seed", Author: "test", Config: config}
+	if _, _, err := c.Commit(t.Context(), committer.Proposal{Change: change, Now: time.Now()}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Get returns a record.
 func (m *memory) Get(_ context.Context, key string) (wigeonspindle.Record, error) {
 	m.mutex.Lock()
@@ -213,7 +224,7 @@
 	return record, nil
 }
 
-// Swap writes a record when its version is current.
+// Swap writes a record when its version is the current one.
 func (m *memory) Swap(_ context.Context, record wigeonspindle.Record) (wigeonspindle.Record, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -222,16 +233,32 @@
 	}
 	record.Version++
 	m.records[record.Key] = record
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
 	return record, nil
 }
 
-// Watch returns a record that is newer, or waits.
+// Watch waits for a newer version of a record.
 func (m *memory) Watch(ctx context.Context, key string, after uint64) (wigeonspindle.Record, error) {
-	if record, _ := m.Get(ctx, key); record.Version > after {
-		return record, nil
+	for {
+		m.mutex.Lock()
+		record := m.records[key]
+		if m.changed == nil {
+			m.changed = make(chan struct{})
+		}
+		changed := m.changed
+		m.mutex.Unlock()
+		if record.Version > after {
+			return record, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return wigeonspindle.Record{}, ctx.Err()
+		}
 	}
-	<-ctx.Done()
-	return wigeonspindle.Record{}, ctx.Err()
 }
 
 // List returns the hosts.
