--- a/internal/transport/launcher/keeper.go
+++ b/internal/transport/launcher/keeper.go
@@ -38,27 +38,16 @@
 }
 
 func (k *rosterKeeper) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-k.host.stop:
-			cancel()
-		case <-stop:
-		}
-	}()
 	ticker := time.NewTicker(keeperPeriod)
 	defer ticker.Stop()
 	for {
 		if k.due() {
-			if err := k.keep(ctx); err != nil && ctx.Err() == nil {
+			if err := k.keep(k.host.ctx); err != nil && k.host.ctx.Err() == nil {
 				k.host.Logger.Warn("roster not kept", "error", err)
 			}
 		}
 		select {
-		case <-ctx.Done():
+		case <-k.host.stop:
 			return
 		case <-ticker.C:
 		}
@@ -81,7 +70,7 @@
 }
 
 func (k *rosterKeeper) keep(ctx context.Context) error {
-	record, err := k.host.Store.Get(ctx, RosterKey)
+	record, err := k.host.counted.Get(ctx, RosterKey)
 	if err != nil {
 		return errors.Wrap(err, "read the roster")
 	}
@@ -104,7 +93,7 @@
 		return errors.Wrap(err, "encode the roster")
 	}
 	// After a conflict or a lost answer the next round reads the roster again.
-	if _, err := k.host.Store.Swap(ctx, wigeonspindle.Record{Key: RosterKey, Value: value, Version: record.Version}); err != nil {
+	if _, err := k.host.counted.Swap(ctx, wigeonspindle.Record{Key: RosterKey, Value: value, Version: record.Version}); err != nil {
 		return errors.Wrap(err, "write the roster")
 	}
 	k.host.Logger.Info("roster written", "era", planned.Era, "seats", len(planned.Seats))
@@ -125,6 +114,9 @@
 	current := make(map[string]wigeonspindle.Incarnation)
 	for _, member := range k.host.view.Load().Members {
 		k.links[member.Host.Name] = member.Host.Link
+		if member.Dead {
+			sight.Dead[member.Host.Incarnation] = true
+		}
 		switch member.Condition {
 		case wigeonspindle.Live:
 			if member.Host.Incarnation != k.host.self.Incarnation || !k.host.leaving.Load() {
--- a/internal/transport/launcher/owned.go
+++ b/internal/transport/launcher/owned.go
@@ -19,6 +19,7 @@
 	loop    *targetLoop
 	limiter *limiter.Limiter
 	number  uint64
+	drains  bool      // drains is what the target last stated.
 	wake    time.Time // wake is when the limiter may have something to do; zero for never.
 	work    *queuer.Ring[sendWork]
 	slots   int
@@ -104,7 +105,7 @@
 	for {
 		target := *o.current.Load()
 		if report, err := prober.Probe(ctx, target); err == nil {
-			o.loop.inputs.Offer(targetInput{report: &targetReport{target: target.Name, report: report}})
+			o.loop.inputs.Offer(targetInput{report: &targetStatement{target: target.Name, report: report}})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/transport/launcher/routes.go
+++ b/internal/transport/launcher/routes.go
@@ -64,14 +64,3 @@
 	}
 	return wigeonspindle.Host{}, false
 }
-
-// outDomains returns the failure domains that are out of service.
-func (*Host) outDomains(config *wigeonspindle.Config) map[string]bool {
-	out := make(map[string]bool)
-	for _, domain := range config.Domains {
-		if domain.Out {
-			out[domain.Name] = true
-		}
-	}
-	return out
-}
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -30,7 +30,7 @@
 	reply   wigeonspindle.Reply
 	cancel  *wigeonspindle.Cancel
 	lease   *targetLease
-	report  *targetReport
+	report  *targetStatement
 }
 
 // targetLease tells the loop what the host may do with a target.
@@ -49,8 +49,8 @@
 	closing bool
 }
 
-// targetReport is a target's statement about its load.
-type targetReport struct {
+// targetStatement is a target's statement about its load.
+type targetStatement struct {
 	target string
 	report wigeonspindle.Report
 }
@@ -121,12 +121,22 @@
 		l.cancel(*input.cancel)
 	case input.report != nil:
 		if owned := l.owned[input.report.target]; owned != nil {
-			l.observe(owned, func() { owned.limiter.Report(input.report.report) })
-			l.advance(owned)
+			l.report(owned, input.report.report)
 		}
 	}
 }
 
+// report takes a target's statement. While the target drains, every host of the cell learns
+// it with each statement.
+func (l *targetLoop) report(owned *ownedTarget, report wigeonspindle.Report) {
+	if report.Draining || owned.drains {
+		l.host.reportTarget(owned.limiter.Target.Name, report.Draining)
+	}
+	owned.drains = report.Draining
+	l.observe(owned, func() { owned.limiter.Report(report) })
+	l.advance(owned)
+}
+
 // lease puts a lease or changed limits in force. Work in flight is not touched: the limiter
 // counts it against the new limits.
 func (l *targetLoop) lease(lease targetLease) {
@@ -147,7 +157,7 @@
 	owned.limiter.Until, owned.limiter.Out, owned.limiter.Closing = lease.until, lease.out, lease.closing
 	l.advance(owned)
 	if l.owned[lease.target.Name] != nil {
-		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load()}})
+		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load(), level: owned.limiter.Level()}})
 	}
 }
 
@@ -157,6 +167,10 @@
 		l.answer(failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeNotOwner, "the host does not own the target"), reply)
 		return
 	}
+	if !l.host.placement.Load().Open(owned.limiter.Target) {
+		l.answer(failed(attempt, wigeonspindle.NotRun, wigeonspindle.CodeLeaving, "the target receives no new work"), reply)
+		return
+	}
 	if refusal := owned.limiter.Offer(attempt, l.host.Clock.Now()); refusal != nil {
 		outcome := failed(attempt, refusal.Verdict, refusal.Code, refusal.Message)
 		outcome.Load = owned.limiter.Load()
@@ -215,6 +229,9 @@
 	if owned == nil {
 		return
 	}
+	if outcome.Code == wigeonspindle.CodeLeaving {
+		l.host.reportTarget(outcome.Target, true)
+	}
 	l.observe(owned, func() { outcome = owned.limiter.Done(outcome, l.host.Clock.Now()) })
 	if cancel := owned.cancels[outcome.ID]; cancel != nil {
 		cancel()
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -19,7 +19,8 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
-// outSize bounds the messages that wait for one link.
+// outSize bounds the messages that wait for one link. The ring holds pointers: with the
+// messages themselves an idle link took 1.8 MB on both hosts together.
 const outSize = 4096
 
 // Linker implements wigeonspindle.Link.
@@ -30,6 +31,9 @@
 	Handler   wigeonspindle.LinkHandler
 	Heartbeat func() wigeonspindle.Heartbeat
 	Logger    *log.Logger
+	// Refused, when set, is called when the address of a host refused a connection. It must
+	// not block.
+	Refused func(host string)
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -45,7 +49,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for hosts on %s", l.Self.Link)
 	}
-	l.listener = listener
+	l.listener = &boundedListener{Listener: listener, slots: make(chan struct{}, maxAccepted)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.mutex.Lock()
 	l.peers = make(map[string]*peer)
@@ -58,7 +62,7 @@
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
-		if err := server.Serve(l.ctx, listener); err != nil && l.ctx.Err() == nil {
+		if err := server.Serve(l.ctx, l.listener); err != nil && l.ctx.Err() == nil {
 			l.Logger.Error("link listener failed", "error", err)
 		}
 	}()
@@ -89,6 +93,10 @@
 		}
 		if existing != nil {
 			existing.cancel()
+			delete(l.peers, host.Name)
+		}
+		if len(l.peers) >= maxPeers {
+			continue
 		}
 		l.peers[host.Name] = l.start(host)
 	}
@@ -105,12 +113,12 @@
 	l.mutex.Lock()
 	p := l.peers[host]
 	l.mutex.Unlock()
-	return p != nil && p.up.Load() && p.out.Offer(message)
+	return p != nil && p.up.Load() && p.out.Offer(&message)
 }
 
 func (l *Linker) start(host wigeonspindle.Host) *peer {
 	ctx, cancel := context.WithCancel(l.ctx)
-	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[wigeonspindle.Envelope](outSize)}
+	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[*wigeonspindle.Envelope](outSize)}
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
@@ -136,5 +144,8 @@
 	return converter.Encode(envelope, l.Clock.Now())
 }
 
-// redialDelay is the pause between attempts to open a link.
-const redialDelay = 200 * time.Millisecond
+// Pauses between attempts to open a link.
+const (
+	redialDelay = 200 * time.Millisecond
+	redialLimit = time.Second
+)
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,39 +23,47 @@
 	linker *Linker
 	host   wigeonspindle.Host
 	cancel context.CancelFunc
-	out    *queuer.Ring[wigeonspindle.Envelope]
+	out    *queuer.Ring[*wigeonspindle.Envelope]
 	up     atomic.Bool
 	heard  atomic.Int64 // heard is when the last frame arrived, in Unix nanoseconds.
 }
 
 // keep opens the link again whenever it breaks, until ctx ends.
 func (p *peer) keep(ctx context.Context) {
+	delay := redialDelay
 	for ctx.Err() == nil {
-		err := p.connect(ctx)
+		opened, err := p.connect(ctx)
+		if delay = min(2*delay, redialLimit); opened {
+			delay = redialDelay
+		}
 		if ctx.Err() == nil && err != nil {
 			p.linker.Logger.Debug("link failed", "peer", p.host.Name, "error", err)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(delay):
 		}
 	}
 }
 
-// connect opens the stream and serves it until it breaks.
-func (p *peer) connect(ctx context.Context) error {
+// connect opens the stream and serves it until it breaks. It reports whether the address
+// accepted a connection.
+func (p *peer) connect(ctx context.Context) (bool, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", p.host.Link)
 	if err != nil {
-		return errors.Wrapf(err, "dial host %s", p.host.Name)
+		if errors.Is(err, syscall.ECONNREFUSED) && p.linker.Refused != nil {
+			p.linker.Refused(p.host.Name)
+		}
+		return false, errors.Wrapf(err, "dial host %s", p.host.Name)
 	}
-	conn := drpcconn.New(socket)
+	conn := drpcconn.New(&guardedConn{Conn: socket})
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := messenger.NewDRPCLinkClient(conn).Exchange(ctx)
 	if err != nil {
-		return errors.Wrapf(err, "open stream to host %s", p.host.Name)
+		return true, errors.Wrapf(err, "open stream to host %s", p.host.Name)
 	}
 	p.heard.Store(p.linker.Clock.Now().UnixNano())
 	done := make(chan struct{})
@@ -68,12 +77,12 @@
 	_ = conn.Close()
 	<-done
 	p.fail()
-	return err
+	return true, err
 }
 
 // read is the duty that receives answers from the host.
 func (p *peer) read(stream messenger.DRPCLink_ExchangeClient) {
-	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(message) }
+	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -102,7 +111,7 @@
 		case <-ctx.Done():
 			return errors.Newf("stream to host %s ended", p.host.Name)
 		case message := <-p.out.C():
-			if err := p.send(stream, message); err != nil {
+			if err := p.send(stream, *message); err != nil {
 				// The message may have left in part, so that only Down is reported for it.
 				return err
 			}
@@ -134,9 +143,9 @@
 // fail marks the link as down and returns the messages that were not written.
 func (p *peer) fail() {
 	wasUp := p.up.Swap(false)
-	buffer := p.out.Drain(make([]wigeonspindle.Envelope, 0, p.out.Cap()))
+	buffer := p.out.Drain(make([]*wigeonspindle.Envelope, 0, p.out.Cap()))
 	for _, message := range buffer {
-		p.linker.Handler.Unsent(p.host.Name, message)
+		p.linker.Handler.Unsent(p.host.Name, *message)
 	}
 	if wasUp {
 		p.linker.Handler.Down(p.host.Name)
