--- a/internal/transport/administrator/changes.go
+++ b/internal/transport/administrator/changes.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -44,6 +45,7 @@
 func (a *Administrator) putInventory(c echo.Context) error {
 	return a.propose(c, encoder.PartInventory, func(config *wigeonspindle.Config, proposal encoder.Proposal) {
 		config.Indexes = proposal.Indexes
+		validator.DeclareDomains(config)
 	})
 }
 
@@ -90,7 +92,7 @@
 // base returns the configuration with the expected revision. Revision 0 is the empty
 // configuration before the first change.
 func (a *Administrator) base(expected wigeonspindle.Revision) (wigeonspindle.Config, *wigeonspindle.Refusal) {
-	config := wigeonspindle.Config{Rules: encoder.DefaultRules()}
+	config := wigeonspindle.Config{Rules: validator.DefaultRules()}
 	if current := a.Host.Config(); current != nil {
 		config = *current
 	}
@@ -131,26 +133,19 @@
 	return c.JSON(http.StatusOK, result)
 }
 
-// checkDomain refuses a failure domain that neither the configuration nor any host names,
-// because a misspelled name would leave the intended domain in service.
+// checkDomain refuses a failure domain that the configuration does not declare, because a
+// misspelled name would leave the intended domain in service. Without a configuration every
+// name is accepted.
 func (a *Administrator) checkDomain(name string, proposal encoder.DomainProposal) *wigeonspindle.Refusal {
-	config := a.Host.Config()
 	if proposal.Expected != nil {
 		if _, refusal := a.base(*proposal.Expected); refusal != nil {
 			return refusal
 		}
 	}
-	known := slices.ContainsFunc(a.Host.Status().Members, func(member wigeonspindle.Member) bool {
-		return member.Host.Domain == name
-	})
-	if config != nil {
-		known = known || slices.ContainsFunc(config.Domains, func(domain wigeonspindle.Domain) bool { return domain.Name == name })
-		for _, index := range config.Indexes {
-			known = known || slices.ContainsFunc(index.Targets, func(target wigeonspindle.Target) bool { return target.Domain == name })
-		}
-	}
-	if !known {
-		return invalid("name", fmt.Sprintf("no host, target or rule names the failure domain %q", name))
+	config := a.Host.Config()
+	declared := func(domain wigeonspindle.Domain) bool { return domain.Name == name }
+	if config != nil && !slices.ContainsFunc(config.Domains, declared) {
+		return invalid("name", fmt.Sprintf("got %q, accepted: a failure domain that the configuration declares", name))
 	}
 	return nil
 }
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -11,8 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
@@ -82,6 +80,7 @@
 			Name: fmt.Sprintf("host-%02d", i), Domain: c.deployment.Domains[i%len(c.deployment.Domains)], Cell: "main",
 			Caller: free[0], Link: free[1], Admin: free[2], Token: token,
 			Store: addresses.Store, Hosts: addresses.Hosts, Workers: c.deployment.Workers, Level: "error",
+			Body: 1 << 20, Connections: 4096,
 		})
 		listings = append(listings, wigeonspindle.Listing{Name: settings[i].Name, Link: settings[i].Link})
 	}
@@ -119,12 +118,7 @@
 	for _, domain := range c.deployment.Domains {
 		config.Domains = append(config.Domains, wigeonspindle.Domain{Name: domain})
 	}
-	writer := &committer.Committer{
-		Store: &storer.Storer{Address: addresses.Store}, Codec: encoder.Documents{}, Validator: validator.New(),
-	}
-	change := wigeonspindle.Change{Identity: "load", Author: "load", Reason: "load run", Config: config}
-	_, _, err := writer.Commit(ctx, committer.Proposal{Change: change, Now: time.Now()})
-	return err
+	return Seed(ctx, addresses.Store, config)
 }
 
 // ready waits until a caller of each failure domain gets a whole answer from every index.
@@ -154,11 +148,7 @@
 
 // setDomain takes a failure domain out of service or brings it back as an operator does.
 func (c *cluster) setDomain(ctx context.Context, domain string, out bool) error {
-	admin, ok := any(c.hosts[0]).(wigeonspindle.Administration)
-	if !ok {
-		return errors.New("the host offers no administration")
-	}
-	_, err := admin.SetDomain(ctx, domain, out, "experiment")
+	_, err := c.hosts[0].SetDomain(ctx, domain, out, "experiment")
 	return err
 }
 
