--- a/internal/transport/launcher/leases.go
+++ b/internal/transport/launcher/leases.go
@@ -62,8 +62,9 @@
 
 // targetLoad is the state of an owned target.
 type targetLoad struct {
-	name string
-	load wigeonspindle.Load
+	name  string
+	load  wigeonspindle.Load
+	level float64
 }
 
 // heldTarget is a target that the host holds, claims or gives back.
@@ -76,6 +77,9 @@
 	out      bool
 	closing  bool
 	load     wigeonspindle.Load
+	// level is the ramp level for the claims. The level in load is relative to the speed of
+	// the target, which another owner does not know.
+	level float64
 }
 
 func newLeaseLoop(host *Host) *leaseLoop {
@@ -115,7 +119,7 @@
 		l.release(*input.closed, now)
 	case input.load != nil:
 		if held := l.held[input.load.name]; held != nil {
-			held.load = input.load.load
+			held.load, held.level = input.load.load, input.load.level
 		}
 	case input.offered != nil:
 		l.offer(*input.offered, now)
@@ -215,9 +219,9 @@
 
 // choose decides which targets the host wants and publishes who is expected to own each.
 func (l *leaseLoop) choose(config *wigeonspindle.Config, now time.Time) {
-	out := l.host.placement.Load().Out
+	placement := l.host.placement.Load()
 	view := l.host.view.Load()
-	hosts := eligible(view, out)
+	hosts := eligible(view, placement.Out)
 	ownership := &wigeonspindle.Ownership{Owners: make(map[string]wigeonspindle.Host)}
 	known := make(map[string]bool)
 	for _, index := range config.Indexes {
@@ -225,7 +229,7 @@
 			known[target.Name] = true
 			preferred, ok := router.Owner(target, hosts)
 			wanted := ok && preferred.Incarnation == l.host.self.Incarnation && !l.host.leaving.Load()
-			l.want(target, wanted, out[target.Domain], config.Revision)
+			l.want(target, wanted, !placement.Open(target), config.Revision)
 			if owner, ok := l.owner(target.Name, preferred, view, now); ok {
 				ownership.Owners[target.Name] = owner
 			}
@@ -241,11 +245,13 @@
 	l.publish()
 }
 
-// eligible returns the hosts that may own targets.
+// eligible returns the hosts that may own targets. A host that only this one does not hear
+// keeps its rank, so that views differ as little as possible.
 func eligible(view *wigeonspindle.View, out map[string]bool) []wigeonspindle.Host {
 	var hosts []wigeonspindle.Host
 	for _, member := range view.Members {
-		if member.Condition == wigeonspindle.Live && !out[member.Host.Domain] {
+		heard := member.Condition == wigeonspindle.Live || member.Condition == wigeonspindle.Cut
+		if heard && !out[member.Host.Domain] {
 			hosts = append(hosts, member.Host)
 		}
 	}
@@ -347,7 +353,7 @@
 		}
 		target := wigeonspindle.ClaimTarget{Target: name}
 		if now.Before(held.until) {
-			target.Level = held.load.Level
+			target.Level = held.level
 		}
 		targets = append(targets, target)
 	}
@@ -371,9 +377,9 @@
 		return
 	}
 	var hosts []wigeonspindle.Host
-	for _, host := range eligible(l.host.view.Load(), nil) {
-		if host.Incarnation != l.host.self.Incarnation {
-			hosts = append(hosts, host)
+	for _, member := range l.host.view.Load().Members {
+		if member.Condition == wigeonspindle.Live && member.Host.Incarnation != l.host.self.Incarnation {
+			hosts = append(hosts, member.Host)
 		}
 	}
 	to, ok := elector.Choose(l.voter.Roster(), hosts)
--- a/internal/transport/launcher/owned.go
+++ b/internal/transport/launcher/owned.go
@@ -19,6 +19,7 @@
 	loop    *targetLoop
 	limiter *limiter.Limiter
 	number  uint64
+	drains  bool      // drains is what the target last stated.
 	wake    time.Time // wake is when the limiter may have something to do; zero for never.
 	work    *queuer.Ring[sendWork]
 	slots   int
