load: run without the canary on request

The quarantine takes the connection resets of an overloaded cold target for crashes, and slow start is missing. The tail-first hedge at p95 spends its budget on attempts that are not stragglers.

--- a/internal/transport/commander/load.go
+++ b/internal/transport/commander/load.go
@@ -21,6 +21,7 @@
 	Warmup     time.Duration `long:"warmup" default:"4s" description:"time under load before each measurement"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of the arrivals and of the stand-ins"`
 	Alone      bool          `long:"alone" description:"leave out the baseline"`
+	NoCanary   bool          `long:"no-canary" description:"send new requests to all shards at once; every request of a run is new"`
 	JSON       string        `long:"json" description:"file for the measurements in JSON"`
 
 	commander *Commander
@@ -37,6 +38,7 @@
 		Warmup: c.Warmup, Duration: c.Duration, Baseline: !c.Alone,
 	}
 	l.Deployment.Hosts = c.Hosts
+	l.Deployment.Rules.Canary = !c.NoCanary
 	var results []loader.Result
 	for _, scenario := range scenarios {
 		result, err := l.Run(context.Background(), scenario)
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -114,7 +114,7 @@
 
 // configure writes the first configuration.
 func (c *cluster) configure(ctx context.Context, addresses simulator.Addresses) error {
-	config := wigeonspindle.Config{Rules: rules(), Indexes: addresses.Indexes}
+	config := wigeonspindle.Config{Rules: c.deployment.Rules, Indexes: addresses.Indexes}
 	for _, domain := range c.deployment.Domains {
 		config.Domains = append(config.Domains, wigeonspindle.Domain{Name: domain})
 	}
--- a/internal/transport/loader/deployment.go
+++ b/internal/transport/loader/deployment.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
@@ -17,6 +18,7 @@
 	Groups  []simulator.Group
 	Traffic []Traffic
 	Budget  time.Duration // Budget is the time from a request to its deadline.
+	Rules   wigeonspindle.Rules
 }
 
 // Traffic is a stream of requests to one index.
@@ -58,7 +60,7 @@
 	ledger := commissions
 	ledger.Index, ledger.Replicas = "ledger", 4
 	return Deployment{
-		Name: "cooperative", Domains: domains, Hosts: 12, Workers: 2, Budget: time.Second,
+		Name: "cooperative", Domains: domains, Hosts: 12, Workers: 2, Budget: time.Second, Rules: encoder.DefaultRules(),
 		Groups: complete(domains, many, commissions, ledger),
 		Traffic: []Traffic{
 			{Index: "lookup", Class: wigeonspindle.Idempotent, Rate: manyRate},
@@ -81,7 +83,7 @@
 	accounts := warehouse
 	accounts.Index, accounts.Replicas = "accounts", 10
 	return Deployment{
-		Name: "hinterberger", Domains: domains, Hosts: 12, Workers: 2, Budget: 500 * time.Millisecond,
+		Name: "hinterberger", Domains: domains, Hosts: 12, Workers: 2, Budget: 500 * time.Millisecond, Rules: encoder.DefaultRules(),
 		Groups: complete(domains, many, warehouse, accounts),
 		Traffic: []Traffic{
 			{Index: "portal", Class: wigeonspindle.Idempotent, Rate: manyRate},
@@ -115,11 +117,3 @@
 	}
 	return names
 }
-
-// rules are the operators' settings that the experiments run with.
-func rules() wigeonspindle.Rules {
-	return wigeonspindle.Rules{
-		Extra: 0.05, Canary: true, Soft: 0.8, Lifetime: wigeonspindle.Duration(10 * time.Minute),
-		Expiry: wigeonspindle.Duration(10 * time.Minute), Lease: wigeonspindle.Duration(3 * time.Second),
-	}
-}
