--- a/cmd/wigeonspindle/main_test.go
+++ b/cmd/wigeonspindle/main_test.go
@@ -19,12 +19,13 @@
 // checkHonest fails for an answer whose coverage or verdict the stand-ins contradict.
 func (f *fleet) checkHonest(t *testing.T, answers map[string]wigeonspindle.Answer) (whole, partial, refused int) {
 	t.Helper()
+	codes := make(map[wigeonspindle.Code]int)
 	for body, answer := range answers {
 		counted := f.tally(t, body)
 		switch {
 		case answer.Refusal != nil:
 			refused++
-			t.Logf("%s: %v", body, answer.Refusal)
+			codes[answer.Refusal.Code]++
 			if answer.Verdict == wigeonspindle.NotRun && len(counted) > 0 {
 				t.Errorf("%s: refused as not run with %s, but shards %v ran", body, answer.Refusal, counted)
 			}
@@ -38,7 +39,7 @@
 			t.Errorf("%s: got coverage %+v on %s, but the targets counted %v", body, answer.Coverage, answer.Snapshot, counted)
 		}
 	}
-	t.Logf("%d whole, %d partial, %d refused", whole, partial, refused)
+	t.Logf("%d whole, %d partial, refused by code: %v", whole, partial, codes)
 	return whole, partial, refused
 }
 
@@ -151,6 +152,37 @@
 	f.checkLimits(t)
 }
 
+// TestOnce guards against a non-idempotent request that runs twice on a shard, or that is
+// refused as not run although it ran, when the host that its identity names dies.
+func TestOnce(t *testing.T) {
+	f := startFleet(t)
+	load := f.drive("once", wigeonspindle.Once)
+	time.Sleep(time.Second)
+	f.hosts[0].signal(t, syscall.SIGKILL)
+	time.Sleep(faultTime)
+	answers := load.end()
+	if whole, _, _ := f.checkHonest(t, answers); whole == 0 {
+		t.Error("got no whole answer, want some")
+	}
+	counts := f.counts(t)
+	runs := make(map[string]int)
+	for name, stats := range counts.Targets {
+		for identity, count := range stats.Identities {
+			shard := name[:strings.LastIndex(name, "-")]
+			runs[shard+" "+identity] += count
+		}
+	}
+	if len(runs) == 0 {
+		t.Error("got no run with an identity, want some")
+	}
+	for run, count := range runs {
+		if count > 1 {
+			t.Errorf("%s: got %d runs, want at most 1", run, count)
+		}
+	}
+	f.checkLimits(t)
+}
+
 // TestKillTarget guards against wrong coverage when a target dies with its connections, and
 // against a target that is not used again.
 func TestKillTarget(t *testing.T) {
--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -287,9 +287,13 @@
 				case <-time.After(5 * time.Millisecond):
 				}
 				body := fmt.Sprintf("%s-%d-%d", name, caller, i)
-				answer := f.client.Query(context.Background(), encoder.QueryRequest{
+				request := encoder.QueryRequest{
 					Index: "lookup", Body: body, Class: class, Budget: wigeonspindle.Duration(budget),
-				})
+				}
+				if class == wigeonspindle.Once {
+					request.Shards = []string{"s00"} // A once request names exactly one shard.
+				}
+				answer := f.client.Query(context.Background(), request)
 				tr.mutex.Lock()
 				tr.answers[body] = answer
 				tr.mutex.Unlock()
--- a/internal/transport/loader/deployment.go
+++ b/internal/transport/loader/deployment.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
@@ -60,7 +60,7 @@
 	ledger := commissions
 	ledger.Index, ledger.Replicas = "ledger", 4
 	return Deployment{
-		Name: "cooperative", Domains: domains, Hosts: 12, Workers: 2, Budget: time.Second, Rules: encoder.DefaultRules(),
+		Name: "cooperative", Domains: domains, Hosts: 12, Workers: 2, Budget: time.Second, Rules: validator.DefaultRules(),
 		Groups: complete(domains, many, commissions, ledger),
 		Traffic: []Traffic{
 			{Index: "lookup", Class: wigeonspindle.Idempotent, Rate: manyRate},
@@ -83,7 +83,7 @@
 	accounts := warehouse
 	accounts.Index, accounts.Replicas = "accounts", 10
 	return Deployment{
-		Name: "hinterberger", Domains: domains, Hosts: 12, Workers: 2, Budget: 500 * time.Millisecond, Rules: encoder.DefaultRules(),
+		Name: "hinterberger", Domains: domains, Hosts: 12, Workers: 2, Budget: 500 * time.Millisecond, Rules: validator.DefaultRules(),
 		Groups: complete(domains, many, warehouse, accounts),
 		Traffic: []Traffic{
 			{Index: "portal", Class: wigeonspindle.Idempotent, Rate: manyRate},
--- a/internal/transport/loader/loader_test.go
+++ b/internal/transport/loader/loader_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/goleak"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/transport/loader"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
@@ -18,7 +18,7 @@
 // small is a deployment that starts quickly.
 func small() loader.Deployment {
 	return loader.Deployment{
-		Name: "small", Domains: []string{"d1", "d2"}, Hosts: 2, Workers: 1, Budget: time.Second, Rules: encoder.DefaultRules(),
+		Name: "small", Domains: []string{"d1", "d2"}, Hosts: 2, Workers: 1, Budget: time.Second, Rules: validator.DefaultRules(),
 		Groups: []simulator.Group{{
 			Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: []string{"d1", "d2"}, Shards: 4, Replicas: 2,
 			Slots: 2, Connections: 50, Service: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20,
