quarantiner: let only a crash alone condemn a request

Attempts that did not run alone now make a suspect and no more. With the rule switched off TestQuarantine quarantines after 12 targets lost at once.

--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -44,10 +44,15 @@
 }
 
 // Crash adds the points of a crash with a number of attempts in flight together, and
-// returns what to tell the other hosts.
-func (q *Quarantiner) Crash(fingerprint uint64, target string, together int, expiry time.Duration, now time.Time) wigeonspindle.Suspicion {
+// returns what to tell the other hosts. Attempts that did not run alone make a suspect and
+// no more: when a failure domain stops, a wide query loses many of them at once.
+func (q *Quarantiner) Crash(fingerprint uint64, target string, together int, alone bool, expiry time.Duration, now time.Time) wigeonspindle.Suspicion {
 	known := q.find(fingerprint, now)
-	known.points += 1 / float64(max(together, 1))
+	points := known.points + 1/float64(max(together, 1))
+	if !alone {
+		points = max(known.points, min(points, Limit/2))
+	}
+	known.points = points
 	known.expires = now.Add(expiry)
 	q.put(fingerprint, known, now)
 	delete(q.succeeded, fingerprint)
--- a/internal/coordination/quarantiner/quarantiner_test.go
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -22,16 +22,16 @@
 			t.Errorf("%s: got state %d, want %d", name, got, want)
 		}
 	}
-	q.Crash(1, "t0", 2, expiry, epoch)
-	q.Crash(2, "t0", 2, expiry, epoch)
+	q.Crash(1, "t0", 2, false, expiry, epoch)
+	q.Crash(2, "t0", 2, false, expiry, epoch)
 	state("shared crash", 1, epoch, quarantiner.Suspect)
 	if cleared, ok := q.Completed(2, "t1", epoch); !ok || !cleared.Cleared {
 		t.Errorf("completed alone: got %+v and %t, want a cleared entry", cleared, ok)
 	}
 	state("completed alone", 2, epoch, quarantiner.Clear)
-	q.Crash(1, "t1", 1, expiry, epoch)
+	q.Crash(1, "t1", 1, true, expiry, epoch)
 	state("1.5 points", 1, epoch, quarantiner.Suspect)
-	entry := q.Crash(1, "t2", 1, expiry, epoch)
+	entry := q.Crash(1, "t2", 1, true, expiry, epoch)
 	state("2.5 points", 1, epoch, quarantiner.Quarantined)
 	if _, ok := q.Completed(1, "t3", epoch); ok {
 		t.Error("quarantined request: want no clearing by a late completion")
@@ -47,6 +47,12 @@
 	if got, want := other.State(3, epoch), quarantiner.Suspect; got != want {
 		t.Errorf("entry that arrived twice: got state %d, want %d", got, want)
 	}
+	for range 12 {
+		q.Crash(4, "t0", 1, false, expiry, epoch)
+	}
+	state("12 targets lost at once", 4, epoch, quarantiner.Suspect)
+	q.Crash(4, "t0", 1, true, expiry, epoch)
+	state("and a crash alone", 4, epoch, quarantiner.Quarantined)
 	state("before expiry", 1, epoch.Add(expiry-1), quarantiner.Quarantined)
 	state("after expiry", 1, epoch.Add(expiry), quarantiner.Clear)
 }
@@ -55,10 +61,10 @@
 // against one that forgets a quarantine for the sake of a suspect.
 func TestBounds(t *testing.T) {
 	q := &quarantiner.Quarantiner{Size: 4, Successes: 4}
-	q.Crash(1000, "t0", 1, expiry, epoch)
-	q.Crash(1000, "t0", 1, expiry, epoch)
+	q.Crash(1000, "t0", 1, true, expiry, epoch)
+	q.Crash(1000, "t0", 1, true, expiry, epoch)
 	for fingerprint := range uint64(100) {
-		q.Crash(fingerprint, "t0", 3, expiry, epoch)
+		q.Crash(fingerprint, "t0", 3, true, expiry, epoch)
 		q.Succeed(fingerprint, epoch)
 	}
 	if got, want := q.Len(), 4; got != want {
@@ -70,7 +76,7 @@
 	if q.Succeeded(1) || !q.Succeeded(99) {
 		t.Error("successes: want the latest kept and the earliest forgotten")
 	}
-	q.Crash(99, "t0", 1, expiry, epoch)
+	q.Crash(99, "t0", 1, true, expiry, epoch)
 	if q.Succeeded(99) {
 		t.Error("crash: want the success forgotten, so that a canary runs first again")
 	}
--- a/internal/transport/launcher/outcomes.go
+++ b/internal/transport/launcher/outcomes.go
@@ -62,7 +62,7 @@
 	switch {
 	case outcome.Crashed:
 		l.picker.Avoid(outcome.Target, now)
-		l.crash(sent.attempt.Fingerprint, outcome, now)
+		l.crash(sent.attempt, outcome, now)
 	case outcome.Answered():
 		l.quarantiner.Succeed(sent.attempt.Fingerprint, now)
 		if sent.attempt.Alone {
--- a/internal/transport/launcher/suspicions.go
+++ b/internal/transport/launcher/suspicions.go
@@ -9,9 +9,9 @@
 )
 
 // crash counts a target's crash against a fingerprint and tells the cell.
-func (l *queryLoop) crash(fingerprint uint64, outcome wigeonspindle.Outcome, now time.Time) {
+func (l *queryLoop) crash(attempt *wigeonspindle.Attempt, outcome wigeonspindle.Outcome, now time.Time) {
 	rules := l.rules()
-	entry := l.quarantiner.Crash(fingerprint, outcome.Target, outcome.Together, rules.Expiry.Value(), now)
+	entry := l.quarantiner.Crash(attempt.Fingerprint, outcome.Target, outcome.Together, attempt.Alone, rules.Expiry.Value(), now)
 	l.broadcast(entry)
 	l.quarantine(entry, now)
 }
