server: read on past an oversized body so that the refusal arrives

TestMessages/oversized failed once in a run of all tests with 'connection reset by peer': the listener answered and closed while the caller was still sending, and the reset overtook the refusal with verdict not-run. Up to 8 times the limit is now read and dropped first; the read timeout still bounds the time.

--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -30,6 +31,10 @@
 	Addresses(domain string) wigeonspindle.AddressAnswer
 }
 
+// discardFactor bounds what is read of an oversized body beyond the limit, as a multiple of
+// the limit. The read timeout of the listener bounds the time.
+const discardFactor = 8
+
 // Server serves callers.
 type Server struct {
 	Address     string
@@ -75,8 +80,12 @@
 	if limit == 0 {
 		limit = encoder.MaxBody
 	}
-	query, refusal := encoder.DecodeQuery(http.MaxBytesReader(c.Response(), request.Body, limit), s.Clock.Now())
+	query, refusal := encoder.DecodeQuery(http.MaxBytesReader(nil, request.Body, limit), s.Clock.Now())
 	if refusal != nil {
+		if refusal.Code == wigeonspindle.CodeTooLarge {
+			// A caller that is still sending would meet a reset instead of the refusal.
+			_, _ = io.CopyN(io.Discard, request.Body, discardFactor*limit)
+		}
 		return c.JSON(encoder.Status(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
 	}
 	answer := s.Frontend.Query(request.Context(), query)
