server: read the rest of an oversized body before the refusal

The listener closed the connection while the caller still sent, and the reset hid the refusal: TestMessages of cmd/wigeonspindle failed in 3 of 4 runs with the race detector. TestOversized fails without this change and passed 5 of 5 runs with it; TestMessages passed 4 of 4.

--- a/internal/transport/administrator/administrator.go
+++ b/internal/transport/administrator/administrator.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -87,7 +88,7 @@
 		request := c.Request()
 		ctx, cancel := context.WithTimeout(request.Context(), handleTimeout)
 		defer cancel()
-		request.Body = http.MaxBytesReader(c.Response(), request.Body, maxBody)
+		request.Body = io.NopCloser(&server.Body{Source: request.Body, Limit: maxBody})
 		c.SetRequest(request.WithContext(ctx))
 		return next(c)
 	}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -75,7 +75,7 @@
 	if limit == 0 {
 		limit = encoder.MaxBody
 	}
-	query, refusal := encoder.DecodeQuery(http.MaxBytesReader(c.Response(), request.Body, limit), s.Clock.Now())
+	query, refusal := encoder.DecodeQuery(&Body{Source: request.Body, Limit: limit}, s.Clock.Now())
 	if refusal != nil {
 		return c.JSON(encoder.Status(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
 	}
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// TestOversized guards against a connection that is reset while the caller still sends an
+// oversized body: the caller could not know that the request was not run.
+func TestOversized(t *testing.T) {
+	address := strings.TrimPrefix(start(t, &server.Server{Frontend: &frontend{}, Body: 4096}), "http://")
+	connection := dial(t, address)
+	write := func(text string) {
+		if _, err := connection.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("POST /query HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4194304\r\n\r\n")
+	for range 4 {
+		write(strings.Repeat(" ", 1<<20))
+		time.Sleep(300 * time.Millisecond) // A server that closes early does so after 500 ms.
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got, err := io.ReadAll(connection)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 413") || !strings.Contains(string(got), `"code":"too-large","verdict":"not-run"`) {
+		t.Errorf("answer: got %q (%v), want 413 and too-large with verdict not-run", got, err)
+	}
+}
+
 // TestSlowRequest guards against a caller that holds a connection by sending its body slowly.
 func TestSlowRequest(t *testing.T) {
 	address := strings.TrimPrefix(start(t, &server.Server{Frontend: &frontend{}, Read: 200 * time.Millisecond}), "http://")
