--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -121,12 +121,22 @@
 		l.cancel(*input.cancel)
 	case input.report != nil:
 		if owned := l.owned[input.report.target]; owned != nil {
-			l.observe(owned, func() { owned.limiter.Report(input.report.report) })
-			l.advance(owned)
+			l.report(owned, input.report.report)
 		}
 	}
 }
 
+// report takes a target's statement. While the target drains, every host of the cell learns
+// it with each statement.
+func (l *targetLoop) report(owned *ownedTarget, report wigeonspindle.Report) {
+	if report.Draining || owned.drains {
+		l.host.reportTarget(owned.limiter.Target.Name, report.Draining)
+	}
+	owned.drains = report.Draining
+	l.observe(owned, func() { owned.limiter.Report(report) })
+	l.advance(owned)
+}
+
 // lease puts a lease or changed limits in force. Work in flight is not touched: the limiter
 // counts it against the new limits.
 func (l *targetLoop) lease(lease targetLease) {
@@ -147,7 +157,7 @@
 	owned.limiter.Until, owned.limiter.Out, owned.limiter.Closing = lease.until, lease.out, lease.closing
 	l.advance(owned)
 	if l.owned[lease.target.Name] != nil {
-		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load()}})
+		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load(), level: owned.limiter.Level()}})
 	}
 }
 
