--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -124,10 +123,14 @@
 		Service: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20, Down: wigeonspindle.Duration(time.Second),
 	}}})
 	var listings []wigeonspindle.Listing
-	for i := range 5 {
-		free := freeAddresses(t, 3)
+	const hosts = 5
+	free, err := simulator.FreeAddresses(3 * hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range hosts {
 		s := parser.Settings{
-			Name: fmt.Sprintf("host-%d", i), Domain: domains[i%len(domains)], Cell: "main", Caller: free[0], Link: free[1], Admin: free[2],
+			Name: fmt.Sprintf("host-%d", i), Domain: domains[i%len(domains)], Cell: "main", Caller: free[3*i], Link: free[3*i+1], Admin: free[3*i+2],
 			Token: "token-of-the-end-to-end-tests-only", Store: f.addresses.Store, Hosts: f.addresses.Hosts, Workers: 2, Level: "warn", Body: 1 << 20, Connections: 4096,
 		}
 		f.settings = append(f.settings, s)
@@ -309,19 +312,3 @@
 	tr.running.Wait()
 	return tr.answers
 }
-
-// freeAddresses returns loopback addresses that no listener uses. Outgoing connections use
-// 127.0.0.1, so that none of them takes a port before its host listens.
-func freeAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.3:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -22,9 +21,6 @@
 )
 
 const (
-	// hostAddress is where hosts listen. Outgoing connections use 127.0.0.1, so that none of
-	// them takes a port between its choice and its use.
-	hostAddress = "127.0.0.3:0"
 	// readyTimeout bounds the wait until a new cluster serves every index.
 	readyTimeout = 30 * time.Second
 	readyPause   = 100 * time.Millisecond
@@ -71,14 +67,14 @@
 func (c *cluster) runHosts(addresses simulator.Addresses) error {
 	var listings []wigeonspindle.Listing
 	var settings []parser.Settings
+	free, err := simulator.FreeAddresses(3 * c.deployment.Hosts)
+	if err != nil {
+		return err
+	}
 	for i := range c.deployment.Hosts {
-		free, err := freeAddresses(3)
-		if err != nil {
-			return err
-		}
 		settings = append(settings, parser.Settings{
 			Name: fmt.Sprintf("host-%02d", i), Domain: c.deployment.Domains[i%len(c.deployment.Domains)], Cell: "main",
-			Caller: free[0], Link: free[1], Admin: free[2], Token: token,
+			Caller: free[3*i], Link: free[3*i+1], Admin: free[3*i+2], Token: token,
 			Store: addresses.Store, Hosts: addresses.Hosts, Workers: c.deployment.Workers, Level: "error",
 			Body: 1 << 20, Connections: 4096,
 		})
@@ -176,21 +172,6 @@
 	return c.bundle.Close()
 }
 
-// freeAddresses returns loopback addresses that no listener uses.
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", hostAddress)
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		// All are closed on return only, so that they differ.
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // systemClock implements wigeonspindle.Clock.
 type systemClock struct{}
 
--- a/internal/transport/simulator/bundle.go
+++ b/internal/transport/simulator/bundle.go
@@ -116,7 +116,7 @@
 // listen serves a handler on an address; an empty one chooses a loopback port.
 func (b *Bundle) listen(address string, handler http.Handler) (string, error) {
 	if address == "" {
-		address = targetAddress
+		address = Loopback()
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/transport/simulator/group.go
+++ b/internal/transport/simulator/group.go
@@ -28,10 +28,6 @@
 // Version is the snapshot that every target serves at first.
 const Version = "v1"
 
-// targetAddress is where targets listen. Outgoing connections use 127.0.0.1, so that none of
-// them takes the port of a target whose listener is down for a while.
-const targetAddress = "127.0.0.2:0"
-
 // targets builds the stand-ins of the group. The replicas of a shard lie in different
 // failure domains.
 func (g Group) targets(seed uint64, tally *Tally) []*boundTarget {
@@ -39,7 +35,7 @@
 	for shard := range g.Shards {
 		for replica := range g.Replicas {
 			name := fmt.Sprintf("%s-s%02d-r%d", g.Index, shard, replica)
-			gate := &Gate{Address: targetAddress, Limit: g.Connections, Open: g.Open.Value()}
+			gate := &Gate{Address: Loopback(), Limit: g.Connections, Open: g.Open.Value()}
 			targets = append(targets, &boundTarget{
 				index: g.Index, domain: g.Domains[(shard+replica)%len(g.Domains)], shard: fmt.Sprintf("s%02d", shard),
 				Target: &Target{
