--- a/internal/transport/launcher/keeper.go
+++ b/internal/transport/launcher/keeper.go
@@ -38,27 +38,16 @@
 }
 
 func (k *rosterKeeper) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-k.host.stop:
-			cancel()
-		case <-stop:
-		}
-	}()
 	ticker := time.NewTicker(keeperPeriod)
 	defer ticker.Stop()
 	for {
 		if k.due() {
-			if err := k.keep(ctx); err != nil && ctx.Err() == nil {
+			if err := k.keep(k.host.ctx); err != nil && k.host.ctx.Err() == nil {
 				k.host.Logger.Warn("roster not kept", "error", err)
 			}
 		}
 		select {
-		case <-ctx.Done():
+		case <-k.host.stop:
 			return
 		case <-ticker.C:
 		}
@@ -130,6 +119,9 @@
 	current := make(map[string]wigeonspindle.Incarnation)
 	for _, member := range k.host.view.Load().Members {
 		k.links[member.Host.Name] = member.Host.Link
+		if member.Dead {
+			sight.Dead[member.Host.Incarnation] = true
+		}
 		switch member.Condition {
 		case wigeonspindle.Live:
 			if member.Host.Incarnation != k.host.self.Incarnation || !k.host.leaving.Load() {
