linker: try every known address of a host, keep a link that works

The host list and the host itself may name different addresses. Both are tried in turn, and only refusals at the address that the host named count as evidence that its process has ended.

--- a/envelope.go
+++ b/envelope.go
@@ -49,7 +49,8 @@
 	// Send queues a message to a host. It reports false when nothing was or will be sent,
 	// because no link is up or its ring is full.
 	Send(host string, message Envelope) bool
-	// Connect keeps a link to each of the hosts and closes the links to all others.
+	// Connect keeps a link to each of the hosts and closes the links to all others. A host
+	// that is named more than once has several addresses.
 	Connect(hosts []Host)
 }
 
--- a/internal/coordination/detector/detector.go
+++ b/internal/coordination/detector/detector.go
@@ -126,10 +126,11 @@
 	return true
 }
 
-// Refused notes that a host's address refused a connection. A frozen host's address still
+// Refused notes that an address refused a connection. Only the address that the host itself
+// named counts, because the list may name an outdated one. A frozen host's address still
 // accepts connections.
-func (d *Detector) Refused(name string) {
-	if m := d.members[name]; m != nil {
+func (d *Detector) Refused(name, address string) {
+	if m := d.members[name]; m != nil && m.host.Link == address {
 		m.refused++
 	}
 }
--- a/internal/coordination/detector/detector_test.go
+++ b/internal/coordination/detector/detector_test.go
@@ -1,6 +1,7 @@
 package detector_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -45,8 +46,9 @@
 }
 
 type refusal struct {
-	Host string `json:"host"`
-	At   int    `json:"at"`
+	Host    string `json:"host"`
+	Address string `json:"address"` // Address is the host's own when it is empty.
+	At      int    `json:"at"`
 }
 
 type span struct {
@@ -99,7 +101,7 @@
 		}
 		for _, r := range recorded.Refusals {
 			if r.At == now {
-				d.Refused(r.Host)
+				d.Refused(r.Host, cmp.Or(r.Address, "127.0.0.1:2"))
 			}
 		}
 		for _, b := range recorded.Beats {
@@ -223,7 +225,7 @@
 			case 0:
 				d.Listed(listings(list{Hosts: rapid.SliceOf(rapid.SampledFrom(names)).Draw(r, "list"), Leaving: names}))
 			case 1:
-				d.Refused(name)
+				d.Refused(name, "127.0.0.1:2")
 			case 2:
 				hear(d, beat{Host: name, Incarnation: "b1", Heard: names, Leaving: name != "b"}, now)
 			case 3:
--- a/internal/coordination/detector/dial.go
+++ b/internal/coordination/detector/dial.go
@@ -42,7 +42,8 @@
 }
 
 // Dial returns the hosts to keep links to: the hosts of the cell and a bounded number of
-// hosts whose cell is not known yet. Peers are addresses from the settings.
+// hosts whose cell is not known yet. A host with two known addresses is named twice. Peers
+// are addresses from the settings.
 func (d *Detector) Dial(peers []string, now time.Time) []wigeonspindle.Host {
 	var hosts, unknown []wigeonspindle.Host
 	addresses := map[string]bool{d.Self.Link: true}
@@ -52,9 +53,12 @@
 		if m.condition == wigeonspindle.Gone && !listed {
 			continue
 		}
-		// A host that restarted elsewhere is found at the address that the list names.
-		if listed && (m.condition == wigeonspindle.Gone || m.condition == wigeonspindle.Suspect) {
-			host.Link = listing.Link
+		// The list and the host may name different addresses: the list lags after a restart,
+		// and a silent host may have restarted where only the list knows.
+		if listed && listing.Link != host.Link {
+			other := host
+			other.Link = listing.Link
+			hosts = append(hosts, other)
 		}
 		addresses[host.Link] = true
 		hosts = append(hosts, host)
@@ -77,7 +81,7 @@
 	}
 	slices.SortFunc(unknown, byName)
 	hosts = append(hosts, group(unknown, now)...)
-	slices.SortFunc(hosts, byName)
+	slices.SortStableFunc(hosts, byName)
 	return hosts
 }
 
--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -46,7 +46,7 @@
 	config   *wigeonspindle.Config
 	override *wigeonspindle.Override
 	target   *targetReport
-	refused  string // refused names a host whose address refused a connection.
+	refused  *wigeonspindle.Host // refused is a host whose address refused a connection.
 	leave    bool
 }
 
@@ -99,8 +99,8 @@
 		if input.target.leaving {
 			l.reports[input.target.target] = now.Add(reportPeriod)
 		}
-	case input.refused != "":
-		l.detector.Refused(input.refused)
+	case input.refused != nil:
+		l.detector.Refused(input.refused.Name, input.refused.Link)
 	case input.leave:
 		l.detector.Leave()
 		l.tick(now)
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -184,9 +184,23 @@
 	listings []wigeonspindle.Listing
 }
 
-// Get returns the configuration.
+// Get returns the head or an index document of the configuration.
 func (m *memory) Get(_ context.Context, key string) (wigeonspindle.Record, error) {
-	data, err := json.Marshal(m.config)
+	var document any
+	head := wigeonspindle.Head{Revision: m.config.Revision, Rules: m.config.Rules, Domains: m.config.Domains}
+	for _, index := range m.config.Indexes {
+		head.Indexes = append(head.Indexes, wigeonspindle.Reference{Name: index.Name, Changed: m.config.Revision})
+		if key == wigeonspindle.IndexKey(index.Name, m.config.Revision) {
+			document = wigeonspindle.IndexDocument{Index: index}
+		}
+	}
+	if key == wigeonspindle.KeyHead {
+		document = head
+	}
+	if document == nil {
+		return wigeonspindle.Record{Key: key}, nil
+	}
+	data, err := json.Marshal(document)
 	return wigeonspindle.Record{Key: key, Value: data, Version: 1}, err
 }
 
--- a/internal/transport/launcher/messages.go
+++ b/internal/transport/launcher/messages.go
@@ -51,7 +51,9 @@
 }
 
 // refusedBy reports a host whose address refused a connection.
-func (h *Host) refusedBy(host string) { h.control.inputs.Offer(controlInput{refused: host}) }
+func (h *Host) refusedBy(host, address string) {
+	h.control.inputs.Offer(controlInput{refused: &wigeonspindle.Host{Name: host, Link: address}})
+}
 
 // send hands a message to a host, which may be this one. It reports false when the message
 // was not and will not be sent.
--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -34,9 +34,9 @@
 	Handler   wigeonspindle.LinkHandler
 	Heartbeat func() wigeonspindle.Heartbeat
 	Logger    *log.Logger
-	// Refused, when set, is called when the address of a host refused a connection. It must
+	// Refused, when set, is called when an address of a host refused a connection. It must
 	// not block.
-	Refused func(host string)
+	Refused func(host, address string)
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -87,32 +87,31 @@
 // Written returns the number of bytes written to all links.
 func (l *Linker) Written() uint64 { return l.written.Load() }
 
-// Connect keeps a link to each of the hosts and closes the links to all others.
+// Connect keeps a link to each of the hosts and closes the links to all others. A host that
+// is named more than once has several addresses, which are tried in turn. A link that works
+// is kept when its addresses change.
 func (l *Linker) Connect(hosts []wigeonspindle.Host) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	wanted := make(map[string]bool, len(hosts))
+	wanted := make(map[string][]string, len(hosts))
 	for _, host := range hosts {
-		wanted[host.Name] = true
-		existing := l.peers[host.Name]
-		if host.Name == l.Self.Name || existing != nil && existing.host.Link == host.Link {
-			continue
+		if host.Name != l.Self.Name {
+			wanted[host.Name] = append(wanted[host.Name], host.Link)
 		}
-		if existing != nil {
-			existing.cancel()
-			delete(l.peers, host.Name)
-		}
-		if len(l.peers) >= maxPeers {
-			continue
-		}
-		l.peers[host.Name] = l.start(host)
 	}
 	for name, p := range l.peers {
-		if !wanted[name] {
+		if wanted[name] == nil {
 			p.cancel()
 			delete(l.peers, name)
 		}
 	}
+	for name, addresses := range wanted {
+		if p := l.peers[name]; p != nil {
+			p.addresses.Store(&addresses)
+		} else if len(l.peers) < maxPeers {
+			l.peers[name] = l.start(name, addresses)
+		}
+	}
 }
 
 // Send queues a message to a host.
@@ -123,9 +122,10 @@
 	return p != nil && p.up.Load() && p.out.Offer(&message)
 }
 
-func (l *Linker) start(host wigeonspindle.Host) *peer {
+func (l *Linker) start(name string, addresses []string) *peer {
 	ctx, cancel := context.WithCancel(l.ctx)
-	p := &peer{linker: l, host: host, cancel: cancel, out: queuer.New[*wigeonspindle.Envelope](outSize)}
+	p := &peer{linker: l, name: name, cancel: cancel, out: queuer.New[*wigeonspindle.Envelope](outSize)}
+	p.addresses.Store(&addresses)
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
--- a/internal/transport/linker/linker_test.go
+++ b/internal/transport/linker/linker_test.go
@@ -106,7 +106,7 @@
 func (e *linkEvents) Up(string)                                            { e.up <- time.Now() }
 func (e *linkEvents) Down(string)                                          { e.down <- time.Now() }
 
-func newLinker(t *testing.T, name string, refused func(string)) (*linker.Linker, *linkEvents) {
+func newLinker(t *testing.T, name string, refused func(string, string)) (*linker.Linker, *linkEvents) {
 	t.Helper()
 	events := &linkEvents{up: make(chan time.Time, 16), down: make(chan time.Time, 16)}
 	self := wigeonspindle.Host{Name: name, Link: free(t)}
@@ -170,7 +170,7 @@
 func TestRefused(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	refused := make(chan string, 16)
-	a, _ := newLinker(t, "a", func(host string) { refused <- host })
+	a, _ := newLinker(t, "a", func(host, _ string) { refused <- host })
 	frozen, err := net.Listen("tcp", "127.0.0.1:0") // Accepts in the kernel and never answers.
 	if err != nil {
 		t.Fatal(err)
@@ -189,3 +189,22 @@
 	_ = a.Close()
 	_ = frozen.Close()
 }
+
+// TestAddresses guards against a host that stays out of reach because one of its known
+// addresses is outdated, and against a working link that is broken when an address changes.
+func TestAddresses(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, events := newLinker(t, "a", nil)
+	b, _ := newLinker(t, "b", nil)
+	outdated := wigeonspindle.Host{Name: "b", Link: free(t)}
+	a.Connect([]wigeonspindle.Host{outdated, b.Self})
+	receive(t, events.up, 3*time.Second, "up")
+	a.Connect([]wigeonspindle.Host{outdated})
+	select {
+	case <-events.down:
+		t.Error("got the link closed, want a working link kept")
+	case <-time.After(time.Second):
+	}
+	_ = a.Close()
+	_ = b.Close()
+}
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -21,23 +21,29 @@
 // peer keeps one outgoing stream to a host.
 type peer struct {
 	linker *Linker
-	host   wigeonspindle.Host
+	name   string
 	cancel context.CancelFunc
-	out    *queuer.Ring[*wigeonspindle.Envelope]
-	up     atomic.Bool
-	heard  atomic.Int64 // heard is when the last frame arrived, in Unix nanoseconds.
+	// addresses are tried in turn. The one that worked last is tried first.
+	addresses atomic.Pointer[[]string]
+	out       *queuer.Ring[*wigeonspindle.Envelope]
+	up        atomic.Bool
+	heard     atomic.Int64 // heard is when the last frame arrived, in Unix nanoseconds.
 }
 
 // keep opens the link again whenever it breaks, until ctx ends.
 func (p *peer) keep(ctx context.Context) {
-	delay := redialDelay
+	delay, next := redialDelay, 0
 	for ctx.Err() == nil {
-		opened, err := p.connect(ctx)
-		if delay = min(2*delay, redialLimit); opened {
+		addresses := *p.addresses.Load()
+		worked, err := p.connect(ctx, addresses[next%len(addresses)])
+		if worked {
 			delay = redialDelay
+		} else {
+			delay = min(2*delay, redialLimit)
+			next++
 		}
 		if ctx.Err() == nil && err != nil {
-			p.linker.Logger.Debug("link failed", "peer", p.host.Name, "error", err)
+			p.linker.Logger.Debug("link failed", "peer", p.name, "error", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -46,16 +52,16 @@
 	}
 }
 
-// connect opens the stream and serves it until it breaks. It reports whether the address
-// accepted a connection.
-func (p *peer) connect(ctx context.Context) (bool, error) {
+// connect opens the stream and serves it until it breaks. It reports whether the link was
+// ready in between.
+func (p *peer) connect(ctx context.Context, address string) (bool, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", p.host.Link)
+	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) && p.linker.Refused != nil {
-			p.linker.Refused(p.host.Name)
+			p.linker.Refused(p.name, address)
 		}
-		return false, errors.Wrapf(err, "dial host %s", p.host.Name)
+		return false, errors.Wrapf(err, "dial host %s", p.name)
 	}
 	conn := drpcconn.NewWithOptions(&guardedConn{Conn: socket, written: &p.linker.written}, drpcconn.Options{Manager: managerOptions()})
 	defer func() { _ = conn.Close() }()
@@ -63,7 +69,7 @@
 	defer cancel()
 	stream, err := messenger.NewDRPCLinkClient(conn).Exchange(ctx)
 	if err != nil {
-		return true, errors.Wrapf(err, "open stream to host %s", p.host.Name)
+		return false, errors.Wrapf(err, "open stream to host %s", p.name)
 	}
 	p.heard.Store(p.linker.Clock.Now().UnixNano())
 	done := make(chan struct{})
@@ -76,8 +82,7 @@
 	cancel()
 	_ = conn.Close()
 	<-done
-	p.fail()
-	return true, err
+	return p.fail(), err
 }
 
 // read is the duty that receives answers from the host.
@@ -91,10 +96,10 @@
 		}
 		p.heard.Store(p.linker.Clock.Now().UnixNano())
 		if !p.up.Swap(true) {
-			p.linker.Handler.Up(p.host.Name)
+			p.linker.Handler.Up(p.name)
 		}
-		if err := p.linker.deliver(frame, p.host.Name, beats, reply); err != nil {
-			p.linker.Logger.Warn("message dropped", "peer", p.host.Name, "error", err)
+		if err := p.linker.deliver(frame, p.name, beats, reply); err != nil {
+			p.linker.Logger.Warn("message dropped", "peer", p.name, "error", err)
 		}
 	}
 }
@@ -111,7 +116,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return errors.Newf("stream to host %s ended", p.host.Name)
+			return errors.Newf("stream to host %s ended", p.name)
 		case message := <-p.out.C():
 			if err := p.send(stream, *message); err != nil {
 				// The message may have left in part, so that only Down is reported for it.
@@ -120,7 +125,7 @@
 		case <-ticker.C:
 			silence := p.linker.Clock.Now().Sub(time.Unix(0, p.heard.Load()))
 			if silence > wigeonspindle.SilenceLimit {
-				return errors.Newf("host %s was silent for %s", p.host.Name, silence)
+				return errors.Newf("host %s was silent for %s", p.name, silence)
 			}
 			if err := p.beat(stream, beats); err != nil {
 				return err
@@ -142,14 +147,16 @@
 	return stream.Send(frame)
 }
 
-// fail marks the link as down and returns the messages that were not written.
-func (p *peer) fail() {
+// fail marks the link as down and returns the messages that were not written. It reports
+// whether the link was up.
+func (p *peer) fail() bool {
 	wasUp := p.up.Swap(false)
 	buffer := p.out.Drain(make([]*wigeonspindle.Envelope, 0, p.out.Cap()))
 	for _, message := range buffer {
-		p.linker.Handler.Unsent(p.host.Name, *message)
+		p.linker.Handler.Unsent(p.name, *message)
 	}
 	if wasUp {
-		p.linker.Handler.Down(p.host.Name)
+		p.linker.Handler.Down(p.name)
 	}
+	return wasUp
 }
