--- a/internal/coordination/committer/write.go
+++ b/internal/coordination/committer/write.go
@@ -56,7 +56,7 @@
 	head := wigeonspindle.Head{Revision: entry.Revision, Rules: config.Rules, Domains: config.Domains, Entry: entry}
 	for _, index := range indexes {
 		index.Changed = entry.Revision
-		if previous, ok := old[index.Name]; ok && validator.Same(previous, index) {
+		if previous, ok := old[index.Name]; ok && !current.restored && validator.Same(previous, index) {
 			index.Changed = previous.Changed
 		}
 		config.Indexes = append(config.Indexes, index)
--- a/internal/transport/administrator/gauges.go
+++ b/internal/transport/administrator/gauges.go
@@ -1,6 +1,8 @@
 package administrator
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -20,6 +22,7 @@
 	descLeaving   = describe("leaving", "1 when the host is draining.")
 	descRevision  = describe("config_revision", "Revision of the configuration in force.")
 	descStore     = describe("store_silence_seconds", "Time since the key-value service last answered.")
+	descCalls     = describe("store_calls_total", "Calls that the host made to the key-value service.")
 	descQueries   = describe("queries_running", "Queries in progress.")
 	descMembers   = describe("members", "Hosts of the cell by condition.", "condition")
 	descOut       = describe("domains_out", "Failure domains that are out of service.")
@@ -35,7 +38,7 @@
 )
 
 var descs = []*prometheus.Desc{
-	descReady, descLeaving, descRevision, descStore, descQueries, descMembers, descOut, descOverrides,
+	descReady, descLeaving, descRevision, descStore, descCalls, descQueries, descMembers, descOut, descOverrides,
 	descRing, descCapacity, descOwned, descRamping, descRunning, descWaiting, descLevel, descLease,
 }
 
@@ -62,6 +65,7 @@
 	gauge(descReady, truth(status.Ready))
 	gauge(descLeaving, truth(status.Leaving))
 	gauge(descRevision, float64(status.Revision))
+	out <- prometheus.MustNewConstMetric(descCalls, prometheus.CounterValue, float64(status.StoreCalls))
 	gauge(descQueries, float64(status.Queries))
 	gauge(descOverrides, float64(len(status.Overrides)))
 	gauge(descOut, float64(domainsOut(g.meter.Host.Config(), status.Overrides)))
@@ -79,7 +83,7 @@
 	g.targets(status.Targets, gauge)
 }
 
-// rings sums the fill of rings with the same name, such as one for each worker.
+// rings sums the fill of the rings with the same label.
 func (g *gauges) rings(rings []wigeonspindle.RingStatus, gauge func(*prometheus.Desc, float64, ...string)) {
 	waiting, capacity := make(map[string]int), make(map[string]int)
 	for _, ring := range rings {
@@ -113,13 +117,15 @@
 		return
 	}
 	gauge(descLevel, level)
-	first := targets[0].Until
+	var first time.Time
 	for _, target := range targets {
-		if target.Until.Before(first) {
+		if !target.Until.IsZero() && (first.IsZero() || target.Until.Before(first)) {
 			first = target.Until
 		}
 	}
-	gauge(descLease, first.Sub(g.meter.Clock.Now()).Seconds())
+	if !first.IsZero() {
+		gauge(descLease, first.Sub(g.meter.Clock.Now()).Seconds())
+	}
 }
 
 // domainsOut counts the failure domains out of service; the newest override of a domain
--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -212,7 +213,10 @@
 		l.overrides.Drop([]string{target}, now)
 	}
 	placement := l.overrides.Place(l.host.holder.Config())
-	l.host.placement.Store(placement)
+	// Query loops configure their picker anew for each new pointer.
+	if current := l.host.placement.Load(); !maps.Equal(current.Out, placement.Out) || !maps.Equal(current.Drops, placement.Drops) {
+		l.host.placement.Store(placement)
+	}
 	if !placement.Out[l.host.self.Domain] {
 		l.outSince = time.Time{}
 	} else if l.outSince.IsZero() {
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -14,6 +14,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/committer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
@@ -98,7 +99,7 @@
 	h.ownership.Store(&wigeonspindle.Ownership{})
 	h.linker = &linker.Linker{
 		Self: h.self, Clock: h.Clock, Recorder: h.recorder, Handler: &linkHandler{host: h},
-		Heartbeat: h.heartbeat, Logger: h.Logger, Refused: h.refusedBy,
+		Heartbeat: h.heartbeat, Logger: h.Logger, Refused: h.refusedBy, Listen: h.Settings.Listen,
 	}
 	for i := range h.Settings.Workers {
 		h.queries = append(h.queries, newQueryLoop(h, i))
@@ -119,6 +120,7 @@
 	}
 	h.start(h.control.run)
 	h.start(h.leases.run)
+	h.start(newRosterKeeper(h).run)
 	h.start(h.poll)
 	h.start(h.settle)
 	if err := h.server.Run(); err != nil {
@@ -145,7 +147,9 @@
 }
 
 func (h *Host) heartbeat() wigeonspindle.Heartbeat {
+	roster := h.leases.Roster()
 	heartbeat := *h.news.Load()
 	heartbeat.Host, heartbeat.Leaving, heartbeat.Revision = h.self, h.leaving.Load(), h.holder.Revision()
+	heartbeat.Era, heartbeat.Terms = roster.Era, elector.Terms(roster)
 	return heartbeat
 }
