--- a/internal/transport/launcher/administration.go
+++ b/internal/transport/launcher/administration.go
@@ -44,28 +44,11 @@
 	if status.Ready && h.placement.Load().Out[h.self.Domain] {
 		status.Reason = "the host's failure domain is out of service"
 	}
-	status.Targets = h.ownTargets()
+	status.Targets, status.Roster = h.leases.Status(), h.leases.Roster()
 	status.Rings = h.rings()
 	return status
 }
 
-func (h *Host) ownTargets() []wigeonspindle.TargetStatus {
-	var targets []wigeonspindle.TargetStatus
-	config := h.holder.Config()
-	if config == nil {
-		return nil
-	}
-	owners := h.ownership.Load().Owners
-	for _, index := range config.Indexes {
-		for _, target := range index.Targets {
-			if owner, ok := owners[target.Name]; ok && owner.Name == h.self.Name {
-				targets = append(targets, wigeonspindle.TargetStatus{Target: target.Name, Domain: target.Domain})
-			}
-		}
-	}
-	return targets
-}
-
 func (h *Host) rings() []wigeonspindle.RingStatus {
 	rings := []wigeonspindle.RingStatus{
 		{Ring: "control", Waiting: h.control.inputs.Len(), Capacity: h.control.inputs.Cap()},
--- a/internal/transport/launcher/leases.go
+++ b/internal/transport/launcher/leases.go
@@ -165,6 +165,7 @@
 	}
 	known := l.voter.Roster()
 	l.holder.Offer(known)
+	l.claimNow = true
 	l.roster.Store(&known)
 	if _, sits := l.voter.Seat(); sits != sat {
 		event := wigeonspindle.Event{Kind: wigeonspindle.EventSeated, Detail: "left the seat"}
@@ -401,6 +402,9 @@
 func (l *leaseLoop) publish() {
 	status := make([]wigeonspindle.TargetStatus, 0, len(l.held))
 	for name, held := range l.held {
+		if held.until.IsZero() {
+			continue
+		}
 		status = append(status, wigeonspindle.TargetStatus{Target: name, Domain: held.target.Domain, Until: held.until, Load: held.load})
 	}
 	l.status.Store(&status)
--- a/internal/transport/launcher/owned.go
+++ b/internal/transport/launcher/owned.go
@@ -30,6 +30,8 @@
 	// stop ends the prober.
 	stop    context.CancelFunc
 	current *atomic.Pointer[wigeonspindle.Target]
+	// out stops the load reports of a target whose failure domain is out of service.
+	out *atomic.Bool
 }
 
 type sendWork struct {
@@ -38,14 +40,15 @@
 	attempt wigeonspindle.Attempt
 }
 
-func newOwnedTarget(loop *targetLoop, target wigeonspindle.Target) *ownedTarget {
+func newOwnedTarget(loop *targetLoop, target wigeonspindle.Target, out bool) *ownedTarget {
 	ctx, cancel := context.WithCancel(context.Background())
 	owned := &ownedTarget{
 		loop: loop, limiter: &limiter.Limiter{}, stop: cancel,
 		replies: make(map[wigeonspindle.AttemptID]wigeonspindle.Reply),
 		cancels: make(map[wigeonspindle.AttemptID]context.CancelFunc),
-		current: &atomic.Pointer[wigeonspindle.Target]{},
+		current: &atomic.Pointer[wigeonspindle.Target]{}, out: &atomic.Bool{},
 	}
+	owned.out.Store(out)
 	owned.resize(target)
 	loop.host.start(func() { owned.probe(ctx) })
 	return owned
@@ -93,7 +96,7 @@
 // probe is the duty that opens the connections ahead and asks the target for its load.
 func (o *ownedTarget) probe(ctx context.Context) {
 	sender := o.loop.host.Sender
-	if opener, ok := sender.(wigeonspindle.Opener); ok {
+	if opener, ok := sender.(wigeonspindle.Opener); ok && !o.out.Load() {
 		opener.Open(ctx, *o.current.Load())
 	}
 	prober, ok := sender.(wigeonspindle.Prober)
@@ -103,9 +106,8 @@
 	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
 	for {
-		target := *o.current.Load()
-		if report, err := prober.Probe(ctx, target); err == nil {
-			o.loop.inputs.Offer(targetInput{report: &targetStatement{target: target.Name, report: report}})
+		if !o.out.Load() {
+			o.ask(ctx, prober)
 		}
 		select {
 		case <-ctx.Done():
@@ -115,6 +117,13 @@
 	}
 }
 
+func (o *ownedTarget) ask(ctx context.Context, prober wigeonspindle.Prober) {
+	target := *o.current.Load()
+	if report, err := prober.Probe(ctx, target); err == nil {
+		o.loop.inputs.Offer(targetInput{report: &targetStatement{target: target.Name, report: report}})
+	}
+}
+
 // abandon stops the senders and the prober and cancels the attempts in flight.
 func (o *ownedTarget) abandon() {
 	for _, cancel := range o.cancels {
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -146,11 +146,12 @@
 			l.host.leases.inputs.Offer(leaseInput{closed: &closedTarget{name: lease.target.Name, number: lease.number}})
 			return
 		}
-		owned = newOwnedTarget(l, lease.target)
+		owned = newOwnedTarget(l, lease.target, lease.out)
 		l.owned[lease.target.Name] = owned
 	}
 	owned.resize(lease.target)
 	owned.number = lease.number
+	owned.out.Store(lease.out)
 	if lease.fresh {
 		owned.limiter.Restore(lease.level)
 	}
--- a/internal/transport/sender/sender_test.go
+++ b/internal/transport/sender/sender_test.go
@@ -156,6 +156,10 @@
 	var answered atomic.Int32
 	for _, limit := range []int{12, 10} {
 		target := wigeonspindle.Target{Name: "t", Address: address, Slots: 4, Connections: limit}
+		// The server needs time to notice the connections that a changed limit closed.
+		s.Forget("t")
+		_, _ = s.Probe(t.Context(), target)
+		time.Sleep(50 * time.Millisecond)
 		for i := range 20 {
 			sending.Go(func() {
 				for range 10 {
@@ -164,6 +168,7 @@
 					}
 					if i == 0 {
 						_, _ = s.Probe(t.Context(), target)
+						time.Sleep(20 * time.Millisecond)
 					}
 				}
 			})
