--- a/internal/transport/launcher/keeper.go
+++ b/internal/transport/launcher/keeper.go
@@ -13,8 +13,8 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/elector"
 )
 
-// RosterKey is the store's key of the roster.
-const RosterKey = "roster"
+// rosterPrefix starts the store's key of a cell's roster.
+const rosterPrefix = "roster."
 
 const (
 	keeperPeriod = time.Second
@@ -70,7 +70,7 @@
 }
 
 func (k *rosterKeeper) keep(ctx context.Context) error {
-	record, err := k.host.counted.Get(ctx, RosterKey)
+	record, err := k.host.counted.Get(ctx, k.key())
 	if err != nil {
 		return errors.Wrap(err, "read the roster")
 	}
@@ -82,7 +82,8 @@
 		k.offer(stored)
 	}
 	planned, write := k.planner.Plan(k.sight(ctx, stored), k.host.Clock.Now())
-	if confirmed := k.host.leases.confirmed.Swap(nil); confirmed != nil {
+	confirmed := k.host.leases.confirmed.Swap(nil)
+	if confirmed != nil {
 		planned, write = elector.Merge(stored, *confirmed)
 	}
 	if !write {
@@ -93,7 +94,8 @@
 		return errors.Wrap(err, "encode the roster")
 	}
 	// After a conflict or a lost answer the next round reads the roster again.
-	if _, err := k.host.counted.Swap(ctx, wigeonspindle.Record{Key: RosterKey, Value: value, Version: record.Version}); err != nil {
+	if _, err := k.host.counted.Swap(ctx, wigeonspindle.Record{Key: k.key(), Value: value, Version: record.Version}); err != nil {
+		k.host.leases.confirmed.CompareAndSwap(nil, confirmed)
 		return errors.Wrap(err, "write the roster")
 	}
 	k.host.Logger.Info("roster written", "era", planned.Era, "seats", len(planned.Seats))
@@ -101,6 +103,9 @@
 	return nil
 }
 
+// key returns the store's key of the roster of this cell.
+func (k *rosterKeeper) key() string { return rosterPrefix + k.host.self.Cell }
+
 func (k *rosterKeeper) offer(roster wigeonspindle.Roster) {
 	k.host.leases.inputs.Offer(leaseInput{offered: &roster})
 }
--- a/internal/transport/launcher/owned.go
+++ b/internal/transport/launcher/owned.go
@@ -120,7 +120,7 @@
 func (o *ownedTarget) ask(ctx context.Context, prober wigeonspindle.Prober) {
 	target := *o.current.Load()
 	if report, err := prober.Probe(ctx, target); err == nil {
-		o.loop.inputs.Offer(targetInput{report: &targetStatement{target: target.Name, report: report}})
+		o.loop.inputs.Offer(targetInput{report: &loadReport{target: target.Name, report: report}})
 	}
 }
 
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -30,7 +30,7 @@
 	reply   wigeonspindle.Reply
 	cancel  *wigeonspindle.Cancel
 	lease   *targetLease
-	report  *targetStatement
+	report  *loadReport
 }
 
 // targetLease tells the loop what the host may do with a target.
@@ -49,8 +49,8 @@
 	closing bool
 }
 
-// targetStatement is a target's statement about its load.
-type targetStatement struct {
+// loadReport is a target's statement about its load.
+type loadReport struct {
 	target string
 	report wigeonspindle.Report
 }
