--- a/internal/coordination/committer/committer.go
+++ b/internal/coordination/committer/committer.go
@@ -49,6 +49,15 @@
 	Record wigeonspindle.Record
 	Head   wigeonspindle.Head
 	Config wigeonspindle.Config
+
+	restored bool // restored marks a store that lost documents, so that all are written again.
+}
+
+// rebase continues from the configuration that a host has in force, when the store was
+// restored from an older copy. The swap fails when the older head was only a stale answer.
+func (c *Current) rebase(known wigeonspindle.Config) {
+	c.Config = known
+	c.restored = true
 }
 
 // Load reads the configuration in force. Index documents that known already holds are not
@@ -149,8 +158,11 @@
 		return wigeonspindle.Entry{}, current.Config, unavailable(wigeonspindle.NotRun, err)
 	}
 	if known := proposal.Known; known != nil && known.Revision > current.Config.Revision {
-		return wigeonspindle.Entry{}, current.Config, unavailable(wigeonspindle.NotRun, errors.Newf(
-			"the store returned revision %d, older than revision %d in force", current.Config.Revision, known.Revision))
+		if change.Expected != known.Revision {
+			return wigeonspindle.Entry{}, current.Config, unavailable(wigeonspindle.NotRun, errors.Newf(
+				"the store returned revision %d, older than revision %d in force", current.Config.Revision, known.Revision))
+		}
+		current.rebase(*known)
 	}
 	if change.Expected != current.Config.Revision {
 		entry, ok, err := c.logged(ctx, current, change.Identity)
--- a/internal/coordination/committer/committer_test.go
+++ b/internal/coordination/committer/committer_test.go
@@ -327,4 +327,14 @@
 	if _, _, err = c.Commit(t.Context(), p); verdict(err) != wigeonspindle.NotRun {
 		t.Errorf("store restored to an older head: got error %v, want a refusal as not run", err)
 	}
+	p = proposal("again", second.Revision)
+	p.Known, p.Change.Config = &second, second
+	p.Change.Config.Rules.Soft = 0.5
+	delete(store.versions, wigeonspindle.IndexKey("lookup", second.Revision))
+	if entry, _, err := c.Commit(t.Context(), p); err != nil || entry.Revision <= second.Revision {
+		t.Errorf("change of what is in force: got revision %d, error %v, want more than %d", entry.Revision, err, second.Revision)
+	}
+	if current, err := c.Load(t.Context(), nil); err != nil || current.Head.Entry.Identity != "again" {
+		t.Errorf("restored store: got %+v, error %v, want the whole configuration", current.Head.Entry, err)
+	}
 }
--- a/internal/coordination/committer/domain.go
+++ b/internal/coordination/committer/domain.go
@@ -23,6 +23,9 @@
 		if current, err = c.Load(ctx, proposal.Known); err != nil {
 			return current.Config, unavailable(wigeonspindle.NotRun, err)
 		}
+		if known := proposal.Known; known != nil && known.Revision > current.Config.Revision {
+			current.rebase(*known)
+		}
 		i := slices.IndexFunc(current.Config.Domains, func(d wigeonspindle.Domain) bool { return d.Name == name })
 		if i < 0 {
 			return current.Config, &wigeonspindle.Refusal{
--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -46,7 +47,7 @@
 	config   *wigeonspindle.Config
 	override *wigeonspindle.Override
 	target   *targetReport
-	refused  string // refused names a host whose address refused a connection.
+	refused  *wigeonspindle.Host // refused is a host whose address refused a connection.
 	leave    bool
 }
 
@@ -99,8 +100,8 @@
 		if input.target.leaving {
 			l.reports[input.target.target] = now.Add(reportPeriod)
 		}
-	case input.refused != "":
-		l.detector.Refused(input.refused)
+	case input.refused != nil:
+		l.detector.Refused(input.refused.Name, input.refused.Link)
 	case input.leave:
 		l.detector.Leave()
 		l.tick(now)
@@ -212,7 +213,10 @@
 		l.overrides.Drop([]string{target}, now)
 	}
 	placement := l.overrides.Place(l.host.holder.Config())
-	l.host.placement.Store(placement)
+	// Query loops configure their picker anew for each new pointer.
+	if current := l.host.placement.Load(); !maps.Equal(current.Out, placement.Out) || !maps.Equal(current.Drops, placement.Drops) {
+		l.host.placement.Store(placement)
+	}
 	if !placement.Out[l.host.self.Domain] {
 		l.outSince = time.Time{}
 	} else if l.outSince.IsZero() {
