--- /dev/null
+++ b/internal/protocol/encoder/identity.go
@@ -0,0 +1,38 @@
+package encoder
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// FormatIdentity returns the text form of an identity.
+func FormatIdentity(i wigeonspindle.Identity) string {
+	return fmt.Sprintf("%s.%d.%s", i.Incarnation, i.Issued.UnixMilli(), i.Nonce)
+}
+
+// noncePattern accepts the characters that the hosts use in identities; none of them needs
+// escaping in a header.
+var noncePattern = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+
+// ParseIdentity reads the text form of an identity. Only the form that FormatIdentity
+// writes is accepted, so that one identity has one text.
+func ParseIdentity(text string) (wigeonspindle.Identity, error) {
+	parts := strings.Split(text, ".")
+	if len(text) > MaxName || len(parts) != 3 || !noncePattern.MatchString(parts[0]) || !noncePattern.MatchString(parts[2]) {
+		return wigeonspindle.Identity{}, errors.New("must be an identity issued with an address answer")
+	}
+	issued, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || strconv.FormatInt(issued, 10) != parts[1] {
+		return wigeonspindle.Identity{}, errors.New("must contain the issue time in milliseconds")
+	}
+	return wigeonspindle.Identity{
+		Incarnation: wigeonspindle.Incarnation(parts[0]), Issued: time.UnixMilli(issued), Nonce: parts[2],
+	}, nil
+}
