--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -182,7 +182,9 @@
 	s.runs[key]++ // An attempt counts from its start: it outlives the host that sent it.
 	s.mutex.Unlock()
 	if run != nil {
-		run(ctx, attempt, &outcome)
+		limited, cancel := context.WithDeadline(ctx, attempt.Deadline)
+		defer cancel()
+		run(limited, attempt, &outcome)
 	}
 	if outcome.Verdict == wigeonspindle.NotRun {
 		s.mutex.Lock()
