--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -55,7 +55,8 @@
 // Restore sets the ramp level that the voters know. An unknown level, 0, is the floor.
 func (l *Limiter) Restore(level float64) { l.ramp.restore(level) }
 
-// Level returns the ramp level, from the floor to 1.
+// Level returns the ramp level for the next owner, from the floor to 1. The level in Load is
+// relative to the speed of the target.
 func (l *Limiter) Level() float64 { return l.ramp.value() }
 
 // Running returns the number of attempts in flight.
@@ -107,10 +108,11 @@
 
 // slots returns the number of attempts that may be in flight at the present level.
 func (l *Limiter) slots() int {
-	if l.ramp.value() < singleBelow {
+	slots := max(1, l.Target.Slots)
+	if l.ramp.share(l.Target.Floor, slots) < singleBelow {
 		return 1
 	}
-	return max(1, l.Target.Slots)
+	return slots
 }
 
 // Next returns the next attempt to send, if one may start now. Its deadline is capped by
@@ -162,7 +164,7 @@
 	case outcome.Code == wigeonspindle.CodeUnreachable, outcome.Code == wigeonspindle.CodeBroken, outcome.Code == wigeonspindle.CodeShed:
 		l.ramp.fall()
 	case outcome.Code == wigeonspindle.CodeExpired && outcome.Verdict == wigeonspindle.MayHaveRun, outcome.Answered():
-		l.ramp.completed(outcome.Took, l.Target.Floor)
+		l.ramp.completed(outcome.Took, l.Target.Floor, max(1, l.Target.Slots))
 	case outcome.Code == wigeonspindle.CodeNoSnapshot:
 		if l.missing == nil {
 			l.missing = make(map[string]time.Time)
@@ -249,7 +251,8 @@
 // Load returns the owner's view of the target.
 func (l *Limiter) Load() wigeonspindle.Load {
 	return wigeonspindle.Load{
-		Waiting: len(l.waiting), Running: len(l.running), Level: l.ramp.value(), Expected: l.ramp.expected(),
+		Waiting: len(l.waiting), Running: len(l.running), Expected: l.ramp.expected(),
+		Level: l.ramp.share(l.Target.Floor, max(1, l.Target.Slots)),
 	}
 }
 
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -147,8 +147,7 @@
 }
 
 func (h *Host) heartbeat() wigeonspindle.Heartbeat {
-	roster := h.leases.Roster()
-	heartbeat := *h.news.Load()
+	heartbeat, roster := *h.news.Load(), h.leases.Roster()
 	heartbeat.Host, heartbeat.Leaving, heartbeat.Revision = h.self, h.leaving.Load(), h.holder.Revision()
 	heartbeat.Era, heartbeat.Terms = roster.Era, elector.Terms(roster)
 	return heartbeat
