--- a/internal/transport/launcher/cell_test.go
+++ b/internal/transport/launcher/cell_test.go
@@ -27,7 +27,7 @@
 	down  atomic.Bool
 	hangs atomic.Bool
 	calls atomic.Int64
-	count *atomic.Int64 // count, when set, counts the requests to run something.
+	count *atomic.Int64 // count, when set, is increased with each request that a target runs.
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
