--- a/internal/transport/launcher/cell_test.go
+++ b/internal/transport/launcher/cell_test.go
@@ -53,12 +53,20 @@
 	hosts           []*launcher.Host
 	listings        []wigeonspindle.Listing
 	index           wigeonspindle.Index
+	served          []*simulator.Target
 	runs            map[string]*atomic.Int64 // runs counts the requests to targets by domain.
 }
 
 // newTestCell starts hosts in the domains a, b and c in turn over one index of two shards
 // with a replica in each domain.
 func newTestCell(t testing.TB, hosts int, service time.Duration) *testCell {
+	t.Helper()
+	// A new owner starts at the floor, and most tests are not about cold targets.
+	return startCell(t, hosts, service, 1000, false)
+}
+
+// startCell is newTestCell with targets that bear the load of the floor when cold.
+func startCell(t testing.TB, hosts int, service time.Duration, floor float64, cold bool) *testCell {
 	t.Helper()
 	c := &testCell{store: &gate{Handler: &simulator.Store{}}, platform: &simulator.Hosts{}, runs: make(map[string]*atomic.Int64)}
 	c.list = &gate{Handler: c.platform}
@@ -66,13 +74,12 @@
 	for _, domain := range []string{"a", "b", "c"} {
 		c.runs[domain] = &atomic.Int64{}
 		for _, shard := range c.index.Snapshots[0].Shards {
-			served := &gate{Handler: &simulator.Target{Slots: 2, Snapshots: []string{"v1"}, Service: service}, count: c.runs[domain]}
-			target := httptest.NewServer(served)
+			simulated := &simulator.Target{Slots: 2, Snapshots: []string{"v1"}, Service: service, Floor: floor, Cold: cold}
+			c.served = append(c.served, simulated)
+			target := httptest.NewServer(&gate{Handler: simulated, count: c.runs[domain]})
 			t.Cleanup(target.Close)
 			c.index.Targets = append(c.index.Targets, wigeonspindle.Target{
-				Name: shard + domain, Address: address(target), Domain: domain, Shards: []string{shard}, Slots: 2, Connections: 50,
-				// A new owner starts at the floor, and these tests are not about cold targets.
-				Floor: 1000,
+				Name: shard + domain, Address: address(target), Domain: domain, Shards: []string{shard}, Slots: 2, Connections: 50, Floor: floor,
 			})
 		}
 	}
