elector: number the claims of each incarnation from its own start

A run of 4,000 random cells found two owners: a grant to an earlier incarnation of a host matched a claim of the next one, because both counted from 1 and grants name no holder.

--- a/internal/coordination/elector/holder.go
+++ b/internal/coordination/elector/holder.go
@@ -1,9 +1,12 @@
 package elector
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wigeonspindle.example/wigeonspindle"
 )
 
@@ -45,6 +48,10 @@
 // Claim starts a round for all targets that the host wants to hold. The claim goes to every
 // sitter; its lease is measured from now, which must be before the claim is sent.
 func (h *Holder) Claim(targets []wigeonspindle.ClaimTarget, now time.Time) wigeonspindle.Claim {
+	if h.counter == 0 {
+		// A grant to an earlier incarnation of the same host must match none of these claims.
+		h.counter = xxhash.Sum64String(string(h.Self)) &^ math.MaxUint32
+	}
 	h.counter++
 	if len(h.rounds) == roundsKept {
 		h.rounds = slices.Clone(h.rounds[1:])
--- a/internal/coordination/elector/trace_test.go
+++ b/internal/coordination/elector/trace_test.go
@@ -140,3 +140,19 @@
 		}
 	}
 }
+
+// TestEarlierIncarnation guards against a host that takes a grant to its earlier incarnation
+// for its own, because the claims of both are counted from the same number.
+func TestEarlierIncarnation(t *testing.T) {
+	m := make(machines)
+	roster := elector.Fill(1, hostsOf(1, 1))
+	targets := []wigeonspindle.ClaimTarget{{Target: "t"}}
+	for _, name := range []string{"h00", "h#1", "h#2"} {
+		m.offer(name, roster, epoch)
+	}
+	grant, _ := m.get("h00").voter.Claim(m.get("h#1").holder.Claim(targets, epoch), lease, epoch)
+	m.get("h#2").holder.Claim(targets, epoch)
+	if got := m.get("h#2").holder.Grant(grant, epoch); len(grant.Targets) != 1 || len(got) != 0 {
+		t.Errorf("got leases %v from grant %v, want none from a grant of one target", got, grant)
+	}
+}
