--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -60,7 +60,7 @@
 }
 
 // start runs a program and ends it by its process ID when the test ends.
-func start(t *testing.T, program string, settings any, stdout *os.File) *process {
+func start(t testing.TB, program string, settings any, stdout *os.File) *process {
 	t.Helper()
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -98,7 +98,7 @@
 	return p
 }
 
-func (p *process) signal(t *testing.T, signal syscall.Signal) {
+func (p *process) signal(t testing.TB, signal syscall.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(signal); err != nil {
 		t.Fatal(err)
@@ -114,16 +114,18 @@
 }
 
 // startFleet starts five hosts in three failure domains and waits until they serve.
-func startFleet(t *testing.T) *fleet {
+func startFleet(t testing.TB) *fleet { return startSized(t, 5, 6) }
+
+// startSized starts hosts over an index of so many shards with two replicas.
+func startSized(t testing.TB, hosts, shards int) *fleet {
 	t.Helper()
 	domains := []string{"a", "b", "c"}
 	f := &fleet{}
 	f.startStandins(t, simulator.Settings{Seed: 1, Groups: []simulator.Group{{
-		Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: domains, Shards: 6, Replicas: 2, Slots: 2, Connections: 50,
+		Index: "lookup", Prefer: wigeonspindle.CoverageFirst, Domains: domains, Shards: shards, Replicas: 2, Slots: 2, Connections: 50,
 		Service: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20, Down: wigeonspindle.Duration(time.Second),
 	}}})
 	var listings []wigeonspindle.Listing
-	const hosts = 5
 	free, err := simulator.FreeAddresses(3 * hosts)
 	if err != nil {
 		t.Fatal(err)
@@ -150,7 +152,7 @@
 	return f
 }
 
-func (f *fleet) startStandins(t *testing.T, settings simulator.Settings) {
+func (f *fleet) startStandins(t testing.TB, settings simulator.Settings) {
 	t.Helper()
 	reader, writer, err := os.Pipe()
 	if err != nil {
@@ -166,7 +168,7 @@
 }
 
 // configure writes the first configuration.
-func (f *fleet) configure(t *testing.T) {
+func (f *fleet) configure(t testing.TB) {
 	t.Helper()
 	config := wigeonspindle.Config{
 		Indexes: f.addresses.Indexes,
@@ -182,7 +184,7 @@
 }
 
 // awaitWhole waits until a host answers whole.
-func (f *fleet) awaitWhole(t *testing.T, host int) {
+func (f *fleet) awaitWhole(t testing.TB, host int) {
 	t.Helper()
 	var got reply
 	for end := time.Now().Add(hung); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -197,7 +199,7 @@
 }
 
 // control changes faults of the stand-ins.
-func (f *fleet) control(t *testing.T, path string, change any) {
+func (f *fleet) control(t testing.TB, path string, change any) {
 	t.Helper()
 	data, err := json.Marshal(change)
 	if err != nil {
@@ -214,7 +216,7 @@
 }
 
 // read gets JSON from the control port.
-func (f *fleet) read(t *testing.T, path string, value any) {
+func (f *fleet) read(t testing.TB, path string, value any) {
 	t.Helper()
 	response, err := http.Get("http://" + f.addresses.Control + path)
 	if err != nil {
@@ -226,14 +228,14 @@
 	}
 }
 
-func (f *fleet) counts(t *testing.T) simulator.Counts {
+func (f *fleet) counts(t testing.TB) simulator.Counts {
 	t.Helper()
 	var counts simulator.Counts
 	f.read(t, "/counts", &counts)
 	return counts
 }
 
-func (f *fleet) tally(t *testing.T, body string) map[string]string {
+func (f *fleet) tally(t testing.TB, body string) map[string]string {
 	t.Helper()
 	var shards map[string]string
 	f.read(t, "/tally?body="+url.QueryEscape(body), &shards)
@@ -249,7 +251,7 @@
 }
 
 // post sends a query to one host on a connection of its own.
-func post(t *testing.T, host string, request any) reply {
+func post(t testing.TB, host string, request any) reply {
 	t.Helper()
 	data, ok := request.([]byte)
 	if !ok {
--- a/internal/transport/simulator/store.go
+++ b/internal/transport/simulator/store.go
@@ -40,6 +40,9 @@
 	Refused int `json:"refused"` // Refused counts calls that an outage or a rate limit refused.
 }
 
+// Total returns the number of calls that the service counts.
+func (c StoreCalls) Total() int { return c.Get + c.Put + c.Watch + c.Lease }
+
 type storeFault struct {
 	down  bool
 	delay time.Duration
