Share what tests and measurements had written several times

Seven clocks became timekeeper.System and three readers of processor time timekeeper.Processor. The stand-ins that lived in test files (a store and a sender without sockets, a proxy that cuts links, a meter, a target with fixed answers, the operators' view of a host) moved to the simulator. Names that needed explaining were replaced: Sight by Observation, news by heartbeatContent, hurry by cancelStop, turnAway by redirect, settle by writeOverrides, outside by domainOut.

--- a/internal/coordination/elector/planner.go
+++ b/internal/coordination/elector/planner.go
@@ -18,8 +18,8 @@
 	absentLimit = 30 * time.Second
 )
 
-// Sight is what a host knows of its cell when it plans the roster.
-type Sight struct {
+// Observation is what a host knows of its cell when it plans the roster.
+type Observation struct {
 	// Stored is the roster in the store; Known is the one learned from other hosts.
 	Stored, Known wigeonspindle.Roster
 	// Hosts are the live hosts that may take a seat, including the planning one.
@@ -41,33 +41,33 @@
 }
 
 // Plan returns the roster to write to the store. It reports false when nothing must change.
-func (p *Planner) Plan(sight Sight, now time.Time) (wigeonspindle.Roster, bool) {
+func (p *Planner) Plan(observation Observation, now time.Time) (wigeonspindle.Roster, bool) {
 	if p.started.IsZero() {
 		p.started = now
 		p.silent, p.absent = make(map[wigeonspindle.Incarnation]time.Time), make(map[wigeonspindle.Incarnation]time.Time)
 	}
-	roster, changed := Merge(sight.Stored, sight.Known)
-	p.observe(roster, sight, now)
-	settled := now.Sub(p.started) >= settleTime || roster.Era == 0 && everyone(sight)
+	roster, changed := Merge(observation.Stored, observation.Known)
+	p.observe(roster, observation, now)
+	settled := now.Sub(p.started) >= settleTime || roster.Era == 0 && everyone(observation)
 	switch {
 	case changed:
 		return roster, true
-	case len(sight.Hosts) == 0 || !settled:
+	case len(observation.Hosts) == 0 || !settled:
 		return roster, false
 	case roster.Era == 0:
-		return Fill(1, sight.Hosts), true
-	case p.lost(roster, sight, now):
+		return Fill(1, observation.Hosts), true
+	case p.lost(roster, observation, now):
 		// Without the peers' knowledge of hand-overs the stored sitters prove nothing.
-		if !p.informed(sight) {
+		if !p.informed(observation) {
 			return roster, false
 		}
-		return Fill(roster.Era+1, sight.Hosts), true
+		return Fill(roster.Era+1, observation.Hosts), true
 	}
-	return p.change(roster, sight, now)
+	return p.change(roster, observation, now)
 }
 
 // observe forgets former sitters and keeps since when each sitter has been silent or missing from the host list.
-func (p *Planner) observe(roster wigeonspindle.Roster, sight Sight, now time.Time) {
+func (p *Planner) observe(roster wigeonspindle.Roster, observation Observation, now time.Time) {
 	former := func(sitter wigeonspindle.Incarnation, _ time.Time) bool {
 		return !slices.ContainsFunc(roster.Seats, func(seat wigeonspindle.Seat) bool {
 			return seat.Incarnation == sitter || seat.Previous == sitter
@@ -76,10 +76,10 @@
 	maps.DeleteFunc(p.silent, former)
 	maps.DeleteFunc(p.absent, former)
 	for _, seat := range roster.Seats {
-		p.mark(p.silent, seat.Incarnation, !sight.Heard[seat.Incarnation], now)
-		p.mark(p.absent, seat.Incarnation, sight.Listed != nil && !sight.Listed[seat.Host], now)
+		p.mark(p.silent, seat.Incarnation, !observation.Heard[seat.Incarnation], now)
+		p.mark(p.absent, seat.Incarnation, observation.Listed != nil && !observation.Listed[seat.Host], now)
 		if seat.Previous != "" {
-			p.mark(p.absent, seat.Previous, sight.Listed != nil && !sight.Listed[seat.PreviousHost], now)
+			p.mark(p.absent, seat.Previous, observation.Listed != nil && !observation.Listed[seat.PreviousHost], now)
 		}
 	}
 }
@@ -92,17 +92,17 @@
 	}
 }
 
-func (p *Planner) dead(sitter wigeonspindle.Incarnation, sight Sight, now time.Time) bool {
-	if sight.Heard[sitter] {
+func (p *Planner) dead(sitter wigeonspindle.Incarnation, observation Observation, now time.Time) bool {
+	if observation.Heard[sitter] {
 		return false
 	}
 	since, absent := p.absent[sitter]
-	return sight.Dead[sitter] || absent && now.Sub(since) >= absentLimit
+	return observation.Dead[sitter] || absent && now.Sub(since) >= absentLimit
 }
 
 // lost reports whether the sitters that may vote can never form a majority again. A pending
 // sitter does not vote, so that the sitter before it counts.
-func (p *Planner) lost(roster wigeonspindle.Roster, sight Sight, now time.Time) bool {
+func (p *Planner) lost(roster wigeonspindle.Roster, observation Observation, now time.Time) bool {
 	seats, alive := 0, 0
 	for _, seat := range roster.Seats {
 		sitter := seat.Incarnation
@@ -113,7 +113,7 @@
 			}
 		}
 		seats++
-		if !p.dead(sitter, sight, now) {
+		if !p.dead(sitter, observation, now) {
 			alive++
 		}
 	}
@@ -121,51 +121,51 @@
 }
 
 // informed reports whether more than half of the listed hosts answer or were proved dead.
-func (*Planner) informed(sight Sight) bool {
+func (*Planner) informed(observation Observation) bool {
 	names := make(map[string]bool)
-	for _, host := range sight.Hosts {
+	for _, host := range observation.Hosts {
 		names[host.Name] = true
 	}
 	known := 0
-	for name := range sight.Listed {
+	for name := range observation.Listed {
 		if names[name] {
 			known++
 		}
 	}
-	return sight.Listed != nil && 2*known > len(sight.Listed)-len(sight.Dead)
+	return observation.Listed != nil && 2*known > len(observation.Listed)-len(observation.Dead)
 }
 
 // everyone reports whether every listed host can take a seat.
-func everyone(sight Sight) bool {
-	return len(sight.Listed) > 0 && !slices.ContainsFunc(slices.Collect(maps.Keys(sight.Listed)), func(name string) bool {
-		return !slices.ContainsFunc(sight.Hosts, func(host wigeonspindle.Host) bool { return host.Name == name })
+func everyone(observation Observation) bool {
+	return len(observation.Listed) > 0 && !slices.ContainsFunc(slices.Collect(maps.Keys(observation.Listed)), func(name string) bool {
+		return !slices.ContainsFunc(observation.Hosts, func(host wigeonspindle.Host) bool { return host.Name == name })
 	})
 }
 
 // change proposes one changed seat. While a seat is pending only that seat may change, so
 // that the confirmations of two changes never mix.
-func (p *Planner) change(roster wigeonspindle.Roster, sight Sight, now time.Time) (wigeonspindle.Roster, bool) {
+func (p *Planner) change(roster wigeonspindle.Roster, observation Observation, now time.Time) (wigeonspindle.Roster, bool) {
 	i := slices.IndexFunc(roster.Seats, func(seat wigeonspindle.Seat) bool { return seat.Pending })
 	if i >= 0 {
-		if !p.vacant(roster, i, sight, now) {
+		if !p.vacant(roster, i, observation, now) {
 			return roster, false
 		}
-		return p.replace(roster, i, sight)
+		return p.replace(roster, i, observation)
 	}
 	for i := range roster.Seats {
 		// The only seat is never reassigned, because no other seat could confirm that.
-		if len(roster.Seats) > 1 && p.vacant(roster, i, sight, now) {
-			return p.replace(roster, i, sight)
+		if len(roster.Seats) > 1 && p.vacant(roster, i, observation, now) {
+			return p.replace(roster, i, observation)
 		}
 	}
-	if len(roster.Seats) < SeatCount(len(sight.Hosts)) {
-		return p.grow(roster, sight)
+	if len(roster.Seats) < SeatCount(len(observation.Hosts)) {
+		return p.grow(roster, observation)
 	}
-	return p.spread(roster, sight)
+	return p.spread(roster, observation)
 }
 
 // vacant reports whether the sitter is dead, silent for long or already has another seat.
-func (p *Planner) vacant(roster wigeonspindle.Roster, i int, sight Sight, now time.Time) bool {
+func (p *Planner) vacant(roster wigeonspindle.Roster, i int, observation Observation, now time.Time) bool {
 	sitter := roster.Seats[i].Incarnation
 	for _, seat := range roster.Seats[:i] {
 		if seat.Incarnation == sitter {
@@ -173,14 +173,14 @@
 		}
 	}
 	since, silent := p.silent[sitter]
-	return p.dead(sitter, sight, now) || silent && now.Sub(since) >= replaceAfter
+	return p.dead(sitter, observation, now) || silent && now.Sub(since) >= replaceAfter
 }
 
-func (*Planner) replace(roster wigeonspindle.Roster, i int, sight Sight) (wigeonspindle.Roster, bool) {
+func (*Planner) replace(roster wigeonspindle.Roster, i int, observation Observation) (wigeonspindle.Roster, bool) {
 	seats := slices.Clone(roster.Seats)
 	old := seats[i]
 	others := wigeonspindle.Roster{Seats: slices.Delete(slices.Clone(seats), i, i+1)}
-	host, ok := Choose(others, sight.Hosts)
+	host, ok := Choose(others, observation.Hosts)
 	if !ok {
 		return roster, false
 	}
@@ -192,8 +192,8 @@
 	return wigeonspindle.Roster{Era: roster.Era, Seats: seats}, true
 }
 
-func (*Planner) grow(roster wigeonspindle.Roster, sight Sight) (wigeonspindle.Roster, bool) {
-	host, ok := Choose(roster, sight.Hosts)
+func (*Planner) grow(roster wigeonspindle.Roster, observation Observation) (wigeonspindle.Roster, bool) {
+	host, ok := Choose(roster, observation.Hosts)
 	if !ok {
 		return roster, false
 	}
@@ -204,7 +204,7 @@
 
 // spread moves a seat out of a failure domain whose loss would leave no majority, if another
 // domain has room.
-func (p *Planner) spread(roster wigeonspindle.Roster, sight Sight) (wigeonspindle.Roster, bool) {
+func (p *Planner) spread(roster wigeonspindle.Roster, observation Observation) (wigeonspindle.Roster, bool) {
 	count := make(map[string]int)
 	for _, seat := range roster.Seats {
 		count[seat.Domain]++
@@ -217,7 +217,7 @@
 		if count[seat.Domain] <= spare {
 			continue
 		}
-		changed, ok := p.replace(roster, i, sight)
+		changed, ok := p.replace(roster, i, observation)
 		if ok && count[changed.Seats[i].Domain] < spare {
 			return changed, true
 		}
--- /dev/null
+++ b/internal/state/timekeeper/processor.go
@@ -0,0 +1,15 @@
+package timekeeper
+
+import (
+	"syscall"
+	"time"
+)
+
+// Processor returns the processor time, user and system, that the process has used.
+func Processor() (time.Duration, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0, err
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
+}
--- a/internal/transport/commander/commander.go
+++ b/internal/transport/commander/commander.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -124,9 +123,3 @@
 	}
 	return added
 }
-
-// systemClock implements wigeonspindle.Clock.
-type systemClock struct{}
-
-// Now returns the current time with a monotonic reading.
-func (systemClock) Now() time.Time { return time.Now() }
--- a/internal/transport/commander/run.go
+++ b/internal/transport/commander/run.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
 	"wigeonspindle.example/wigeonspindle/internal/transport/lister"
@@ -45,10 +46,10 @@
 	logger := log.NewWithOptions(c.commander.Err, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level,
 	})
-	targets := &sender.Sender{Clock: systemClock{}}
-	meter := administrator.NewMeter(systemClock{})
+	targets := &sender.Sender{Clock: timekeeper.System{}}
+	meter := administrator.NewMeter(timekeeper.System{})
 	host := &launcher.Host{
-		Settings: settings, Clock: systemClock{}, Logger: logger, Sender: targets, Meter: meter,
+		Settings: settings, Clock: timekeeper.System{}, Logger: logger, Sender: targets, Meter: meter,
 		Store: &storer.Storer{Address: settings.Store}, Lister: &lister.Lister{Address: settings.Hosts},
 	}
 	meter.Host = host
@@ -59,7 +60,7 @@
 		return err
 	}
 	api := &administrator.Administrator{
-		Address: settings.Admin, Token: string(settings.Token), Host: host, Meter: meter, Clock: systemClock{}, Logger: logger,
+		Address: settings.Admin, Token: string(settings.Token), Host: host, Meter: meter, Clock: timekeeper.System{}, Logger: logger,
 	}
 	if err := api.Run(); err != nil {
 		stopped, cancel := context.WithCancel(context.Background())
--- a/internal/transport/launcher/administration.go
+++ b/internal/transport/launcher/administration.go
@@ -28,7 +28,7 @@
 	view := h.view.Load()
 	status := wigeonspindle.Status{
 		Host: h.self, Revision: h.holder.Revision(), Leaving: h.leaving.Load(), Members: view.Members,
-		Overrides: h.news.Load().Overrides, Queries: int(h.inflight.Load()), StoreCalls: h.storeCalls.Load(),
+		Overrides: h.heartbeatContent.Load().Overrides, Queries: int(h.inflight.Load()), StoreCalls: h.storeCalls.Load(),
 	}
 	if seen := h.storeSeen.Load(); seen != 0 {
 		status.StoreSeen = time.Unix(0, seen)
--- a/internal/transport/launcher/control.go
+++ b/internal/transport/launcher/control.go
@@ -38,7 +38,7 @@
 	outSince  time.Time
 }
 
-// controlInput is a message of another host or news from a duty. Exactly one field besides
+// controlInput is a message of another host or input from a duty. Exactly one field besides
 // reply is set.
 type controlInput struct {
 	message  wigeonspindle.Envelope
@@ -151,7 +151,7 @@
 	}
 	l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventDomain, Domain: override.Domain, Detail: detail})
 	l.place(now)
-	l.beat(now)
+	l.publishHeartbeat(now)
 }
 
 // listed notes the targets that the platform's list marks as leaving.
@@ -171,7 +171,7 @@
 	now := l.host.Clock.Now()
 	l.overrides.Expire(l.host.holder.Config(), now)
 	l.place(now)
-	l.beat(now)
+	l.publishHeartbeat(now)
 }
 
 func (l *controlLoop) tick(now time.Time) {
@@ -186,7 +186,7 @@
 	config := l.host.holder.Config()
 	l.overrides.Expire(config, now)
 	l.place(now)
-	l.beat(now)
+	l.publishHeartbeat(now)
 	if now.Sub(l.dialled) >= dialPeriod {
 		l.dialled = now
 		l.host.linker.Connect(l.detector.Dial(l.host.Settings.Peers, now))
@@ -223,17 +223,17 @@
 		l.outSince = now
 	}
 	// Callers' lists that name this host have expired by then.
-	l.host.outside.Store(!l.outSince.IsZero() && now.Sub(l.outSince) > wigeonspindle.AddressTTL)
+	l.host.domainOut.Store(!l.outSince.IsZero() && now.Sub(l.outSince) > wigeonspindle.AddressTTL)
 }
 
-// beat publishes the content of the next heartbeats. Only what this host saw itself is
+// publishHeartbeat publishes the content of the next heartbeats. Only what this host saw itself is
 // reported, so that a report ends when its cause does.
-func (l *controlLoop) beat(now time.Time) {
-	news := &wigeonspindle.Heartbeat{Heard: l.detector.Fresh(now), Overrides: l.overrides.List()}
+func (l *controlLoop) publishHeartbeat(now time.Time) {
+	content := &wigeonspindle.Heartbeat{Heard: l.detector.Fresh(now), Overrides: l.overrides.List()}
 	for target := range l.reports {
-		news.Drops = append(news.Drops, target)
+		content.Drops = append(content.Drops, target)
 	}
-	l.host.news.Store(news)
+	l.host.heartbeatContent.Store(content)
 }
 
 // elect starts or ends the watch of the store.
--- a/internal/transport/launcher/drain.go
+++ b/internal/transport/launcher/drain.go
@@ -32,7 +32,7 @@
 	select {
 	case <-h.stopped:
 	case <-ctx.Done():
-		h.hurry()
+		h.cancelStop()
 		<-h.stopped
 	}
 	return h.stopErr
@@ -45,7 +45,7 @@
 		if timeout > 0 {
 			ctx, cancel = context.WithTimeout(context.Background(), timeout)
 		}
-		h.hurry = cancel
+		h.cancelStop = cancel
 		go func() {
 			defer close(h.stopped)
 			defer cancel()
--- a/internal/transport/launcher/frontend.go
+++ b/internal/transport/launcher/frontend.go
@@ -20,7 +20,7 @@
 	h := f.host
 	h.inflight.Add(1)
 	defer h.inflight.Add(-1)
-	if answer, turned := h.turnAway(query); turned {
+	if answer, turned := h.redirect(query); turned {
 		return answer
 	}
 	return h.Query(ctx, query)
@@ -31,16 +31,19 @@
 	return f.host.Addresses(domain)
 }
 
-// turnAway refuses a query that reached the host by an old address list. The refusal carries
+// Leaving reports that the host is in a planned stop.
+func (f frontend) Leaving() bool { return f.host.leaving.Load() }
+
+// redirect refuses a query that reached the host by an old address list. The refusal carries
 // the current list. A once request goes on to its query loop, because only the table of
 // identities there knows whether it is a repeat of one that ran.
-func (h *Host) turnAway(query wigeonspindle.Query) (wigeonspindle.Answer, bool) {
+func (h *Host) redirect(query wigeonspindle.Query) (wigeonspindle.Answer, bool) {
 	if query.Class == wigeonspindle.Once {
 		return wigeonspindle.Answer{}, false
 	}
 	message := "the host has stopped serving callers"
 	if !h.refusing.Load() {
-		if !h.outside.Load() {
+		if !h.domainOut.Load() {
 			return wigeonspindle.Answer{}, false
 		}
 		message = "the host's failure domain is out of service"
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -37,37 +37,37 @@
 	Meter    wigeonspindle.Meter // Meter may be nil.
 	Logger   *log.Logger
 
-	self       wigeonspindle.Host
-	recorder   *recorder.Recorder
-	holder     *holder.Holder
-	committer  *committer.Committer
-	counted    wigeonspindle.Store
-	view       atomic.Pointer[wigeonspindle.View]
-	ownership  atomic.Pointer[wigeonspindle.Ownership]
-	placement  atomic.Pointer[wigeonspindle.Placement]
-	news       atomic.Pointer[wigeonspindle.Heartbeat]
-	leaving    atomic.Bool
-	refusing   atomic.Bool // refusing is set when a stopping host takes no new requests.
-	outside    atomic.Bool // outside is set when the host's domain has been out of service for long.
-	inflight   atomic.Int64
-	storeCalls atomic.Uint64
-	storeSeen  atomic.Int64
-	turn       atomic.Uint64
-	nextQuery  atomic.Uint64
-	queries    []*queryLoop
-	targets    []*targetLoop
-	control    *controlLoop
-	leases     *leaseLoop
-	linker     *linker.Linker
-	server     *server.Server
-	stop       chan struct{}
-	ctx        context.Context // ctx ends with stop.
-	cancel     context.CancelFunc
-	duties     sync.WaitGroup
-	stopping   sync.Once
-	stopped    chan struct{}
-	stopErr    error
-	hurry      context.CancelFunc // hurry ends the waits of a graceful stop.
+	self             wigeonspindle.Host
+	recorder         *recorder.Recorder
+	holder           *holder.Holder
+	committer        *committer.Committer
+	counted          wigeonspindle.Store
+	view             atomic.Pointer[wigeonspindle.View]
+	ownership        atomic.Pointer[wigeonspindle.Ownership]
+	placement        atomic.Pointer[wigeonspindle.Placement]
+	heartbeatContent atomic.Pointer[wigeonspindle.Heartbeat]
+	leaving          atomic.Bool
+	refusing         atomic.Bool // refusing is set when a stopping host takes no new requests.
+	domainOut        atomic.Bool // domainOut is set when the host's domain has been out of service for long.
+	inflight         atomic.Int64
+	storeCalls       atomic.Uint64
+	storeSeen        atomic.Int64
+	turn             atomic.Uint64
+	nextQuery        atomic.Uint64
+	queries          []*queryLoop
+	targets          []*targetLoop
+	control          *controlLoop
+	leases           *leaseLoop
+	linker           *linker.Linker
+	server           *server.Server
+	stop             chan struct{}
+	ctx              context.Context // ctx ends with stop.
+	cancel           context.CancelFunc
+	duties           sync.WaitGroup
+	stopping         sync.Once
+	stopped          chan struct{}
+	stopErr          error
+	cancelStop       context.CancelFunc // cancelStop ends the waits of a graceful stop.
 }
 
 // NewIncarnation returns a random incarnation.
@@ -93,7 +93,7 @@
 	h.counted = countedStore{host: h}
 	h.committer = &committer.Committer{Store: h.counted, Codec: encoder.Documents{}, Validator: validator.New()}
 	h.placement.Store(&wigeonspindle.Placement{})
-	h.news.Store(&wigeonspindle.Heartbeat{})
+	h.heartbeatContent.Store(&wigeonspindle.Heartbeat{})
 	h.turn.Store(newTurn())
 	h.view.Store(&wigeonspindle.View{Self: h.self})
 	h.ownership.Store(&wigeonspindle.Ownership{})
@@ -122,7 +122,7 @@
 	h.start(h.leases.run)
 	h.start(newRosterKeeper(h).run)
 	h.start(h.poll)
-	h.start(h.settle)
+	h.start(h.writeOverrides)
 	if err := h.server.Run(); err != nil {
 		return errors.CombineErrors(err, h.stopDuties())
 	}
@@ -147,7 +147,7 @@
 }
 
 func (h *Host) heartbeat() wigeonspindle.Heartbeat {
-	heartbeat, roster := *h.news.Load(), h.leases.Roster()
+	heartbeat, roster := *h.heartbeatContent.Load(), h.leases.Roster()
 	heartbeat.Host, heartbeat.Leaving, heartbeat.Revision = h.self, h.leaving.Load(), h.holder.Revision()
 	heartbeat.Era, heartbeat.Terms = roster.Era, elector.Terms(roster)
 	return heartbeat
--- a/internal/transport/launcher/keeper.go
+++ b/internal/transport/launcher/keeper.go
@@ -21,8 +21,8 @@
 	// keepers is the number of hosts that read the roster in the store regularly, so that
 	// the reads do not grow with the hosts of a cell.
 	keepers = 2
-	// examineTimeout bounds the connection that tells a dead sitter from a silent one.
-	examineTimeout = 500 * time.Millisecond
+	// sitterTimeout bounds the connection that tells a dead sitter from a silent one.
+	sitterTimeout = 500 * time.Millisecond
 )
 
 // rosterKeeper is the duty that reads and writes the roster in the store. It may wait for
@@ -81,7 +81,7 @@
 		}
 		k.offer(stored)
 	}
-	planned, write := k.planner.Plan(k.sight(ctx, stored), k.host.Clock.Now())
+	planned, write := k.planner.Plan(k.observation(ctx, stored), k.host.Clock.Now())
 	confirmed := k.host.leases.confirmed.Swap(nil)
 	if confirmed != nil {
 		planned, write = elector.Merge(stored, *confirmed)
@@ -110,9 +110,9 @@
 	k.host.leases.inputs.Offer(leaseInput{offered: &roster})
 }
 
-// sight gathers what this host knows of its cell.
-func (k *rosterKeeper) sight(ctx context.Context, stored wigeonspindle.Roster) elector.Sight {
-	sight := elector.Sight{
+// observation gathers what this host knows of its cell.
+func (k *rosterKeeper) observation(ctx context.Context, stored wigeonspindle.Roster) elector.Observation {
+	observation := elector.Observation{
 		Stored: stored, Known: k.host.leases.Roster(),
 		Heard: make(map[wigeonspindle.Incarnation]bool), Dead: make(map[wigeonspindle.Incarnation]bool),
 	}
@@ -120,54 +120,54 @@
 	for _, member := range k.host.view.Load().Members {
 		k.links[member.Host.Name] = member.Host.Link
 		if member.Dead {
-			sight.Dead[member.Host.Incarnation] = true
+			observation.Dead[member.Host.Incarnation] = true
 		}
 		switch member.Condition {
 		case wigeonspindle.Live:
 			if member.Host.Incarnation != k.host.self.Incarnation || !k.host.leaving.Load() {
-				sight.Hosts = append(sight.Hosts, member.Host)
+				observation.Hosts = append(observation.Hosts, member.Host)
 			}
 			fallthrough
 		case wigeonspindle.Leaving, wigeonspindle.Cut:
-			sight.Heard[member.Host.Incarnation] = true
+			observation.Heard[member.Host.Incarnation] = true
 			current[member.Host.Name] = member.Host.Incarnation
 		}
 	}
 	if listings, err := k.host.Lister.List(ctx); err == nil {
-		sight.Listed = make(map[string]bool)
+		observation.Listed = make(map[string]bool)
 		for _, listing := range listings {
-			sight.Listed[listing.Name] = true
+			observation.Listed[listing.Name] = true
 			k.links[listing.Name] = listing.Link
 		}
 	}
-	for _, roster := range []wigeonspindle.Roster{sight.Stored, sight.Known} {
+	for _, roster := range []wigeonspindle.Roster{observation.Stored, observation.Known} {
 		for _, seat := range roster.Seats {
-			k.examine(ctx, seat.Host, seat.Incarnation, current, &sight)
-			k.examine(ctx, seat.PreviousHost, seat.Previous, current, &sight)
+			k.probeSitter(ctx, seat.Host, seat.Incarnation, current, &observation)
+			k.probeSitter(ctx, seat.PreviousHost, seat.Previous, current, &observation)
 		}
 	}
-	return sight
+	return observation
 }
 
-// examine finds out whether a sitter that is not heard is dead: another incarnation answers
+// probeSitter finds out whether a sitter that is not heard is dead: another incarnation answers
 // under its name, or its address refuses connections. A timeout proves nothing.
-func (k *rosterKeeper) examine(ctx context.Context, name string, sitter wigeonspindle.Incarnation, current map[string]wigeonspindle.Incarnation, sight *elector.Sight) {
-	if sitter == "" || sight.Heard[sitter] || sight.Dead[sitter] {
+func (k *rosterKeeper) probeSitter(ctx context.Context, name string, sitter wigeonspindle.Incarnation, current map[string]wigeonspindle.Incarnation, observation *elector.Observation) {
+	if sitter == "" || observation.Heard[sitter] || observation.Dead[sitter] {
 		return
 	}
 	if other := current[name]; other != "" && other != sitter {
-		sight.Dead[sitter] = true
+		observation.Dead[sitter] = true
 		return
 	}
 	link := k.links[name]
 	if link == "" {
 		return
 	}
-	dialer := net.Dialer{Timeout: examineTimeout}
+	dialer := net.Dialer{Timeout: sitterTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", link)
 	if err == nil {
 		_ = conn.Close()
 	} else if errors.Is(err, syscall.ECONNREFUSED) {
-		sight.Dead[sitter] = true
+		observation.Dead[sitter] = true
 	}
 }
--- a/internal/transport/launcher/leases.go
+++ b/internal/transport/launcher/leases.go
@@ -32,18 +32,18 @@
 	confirmed atomic.Pointer[wigeonspindle.Roster]
 	status    atomic.Pointer[[]wigeonspindle.TargetStatus]
 
-	voter    elector.Voter
-	holder   elector.Holder
-	held     map[string]*heldTarget
-	routes   routes
-	numbers  uint64
-	claimed  time.Time
-	noticed  time.Time
-	claimNow bool
-	gaveSeat bool
+	voter      elector.Voter
+	holder     elector.Holder
+	held       map[string]*heldTarget
+	routes     routes
+	numbers    uint64
+	claimed    time.Time
+	noticed    time.Time
+	claimNow   bool
+	handedOver bool
 }
 
-// leaseInput is a message of another host or news from the duties of this one. Exactly one
+// leaseInput is a message of another host or input from the duties of this one. Exactly one
 // of message, closed, load and offered is set.
 type leaseInput struct {
 	message wigeonspindle.Envelope
@@ -374,7 +374,7 @@
 // handOver gives the seat to another host at a planned stop. The new sitter and the others
 // learn it from the heartbeats, also when the first notice is lost.
 func (l *leaseLoop) handOver(now time.Time) {
-	if l.gaveSeat {
+	if l.handedOver {
 		return
 	}
 	var hosts []wigeonspindle.Host
@@ -391,7 +391,7 @@
 	if !ok {
 		return
 	}
-	l.gaveSeat = true
+	l.handedOver = true
 	l.holder.Offer(roster)
 	l.roster.Store(&roster)
 	l.host.send(to.Name, wigeonspindle.Envelope{Notice: &wigeonspindle.Notice{Roster: roster}})
--- a/internal/transport/launcher/platform.go
+++ b/internal/transport/launcher/platform.go
@@ -133,21 +133,21 @@
 	return nil
 }
 
-// settle is the duty that writes overrides to the store after an outage.
-func (h *Host) settle() {
+// writeOverrides is the duty that writes overrides to the store after an outage.
+func (h *Host) writeOverrides() {
 	for {
 		select {
 		case <-h.stop:
 			return
 		case overrides := <-h.control.unsettled.C():
 			for _, override := range overrides {
-				h.settleOne(override)
+				h.writeOverride(override)
 			}
 		}
 	}
 }
 
-func (h *Host) settleOne(override wigeonspindle.Override) {
+func (h *Host) writeOverride(override wigeonspindle.Override) {
 	ctx, cancel := context.WithTimeout(h.ctx, storeTimeout)
 	defer cancel()
 	config, err := h.committer.SetDomain(ctx, committer.Proposal{
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -83,8 +83,8 @@
 	abandoned bool
 }
 
-// outcomeInput is a batch of outcomes, the answer to a forwarded request, news about a
-// fingerprint, or the news that a link to a host broke or is ready.
+// outcomeInput is a batch of outcomes, the answer to a forwarded request, the state of a
+// suspected fingerprint, or a link to a host that broke or became ready.
 type outcomeInput struct {
 	outcomes  []wigeonspindle.Outcome
 	forwarded *wigeonspindle.Forwarded
--- a/internal/transport/linker/acceptor.go
+++ b/internal/transport/linker/acceptor.go
@@ -34,7 +34,7 @@
 }
 
 func (a *acceptor) read(stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) error {
-	from, beats := "", &beatReader{}
+	from, beats := "", &heartbeatReader{}
 	reply := func(message wigeonspindle.Envelope) bool { return out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
@@ -55,7 +55,7 @@
 }
 
 func (a *acceptor) write(ctx context.Context, stream messenger.DRPCLink_ExchangeStream, out *queuer.Ring[*wigeonspindle.Envelope]) {
-	beats := &beatWriter{}
+	beats := &heartbeatWriter{}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/transport/linker/beat.go
+++ b/internal/transport/linker/beat.go
@@ -6,17 +6,17 @@
 	"wigeonspindle.example/wigeonspindle"
 )
 
-// beatWriter shortens the heartbeats of one direction of a stream: a heartbeat equal to the
+// heartbeatWriter shortens the heartbeats of one direction of a stream: a heartbeat equal to the
 // one before is sent empty. Most heartbeats of a quiet cell are equal, and with the names of
 // all hosts heard in each of them their size would grow with the square of the cell.
-type beatWriter struct {
+type heartbeatWriter struct {
 	last wigeonspindle.Heartbeat
 	sent bool
 }
 
 // shorten must be called immediately before the heartbeat is written, in the order of the
 // stream.
-func (w *beatWriter) shorten(heartbeat wigeonspindle.Heartbeat) wigeonspindle.Heartbeat {
+func (w *heartbeatWriter) shorten(heartbeat wigeonspindle.Heartbeat) wigeonspindle.Heartbeat {
 	if w.sent && reflect.DeepEqual(w.last, heartbeat) {
 		return wigeonspindle.Heartbeat{}
 	}
@@ -24,13 +24,13 @@
 	return heartbeat
 }
 
-// beatReader restores shortened heartbeats.
-type beatReader struct {
+// heartbeatReader restores shortened heartbeats.
+type heartbeatReader struct {
 	last *wigeonspindle.Heartbeat
 }
 
 // restore returns the whole heartbeat, or nil for an empty one without one before it.
-func (r *beatReader) restore(heartbeat *wigeonspindle.Heartbeat) *wigeonspindle.Heartbeat {
+func (r *heartbeatReader) restore(heartbeat *wigeonspindle.Heartbeat) *wigeonspindle.Heartbeat {
 	if heartbeat.Host.Name != "" {
 		r.last = heartbeat
 	}
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -87,7 +87,7 @@
 
 // read is the duty that receives answers from the host.
 func (p *peer) read(stream messenger.DRPCLink_ExchangeClient) {
-	beats := &beatReader{}
+	beats := &heartbeatReader{}
 	reply := func(message wigeonspindle.Envelope) bool { return p.out.Offer(&message) }
 	for {
 		frame, err := stream.Recv()
@@ -109,8 +109,8 @@
 func (p *peer) write(ctx context.Context, stream messenger.DRPCLink_ExchangeClient) error {
 	ticker := time.NewTicker(wigeonspindle.HeartbeatPeriod)
 	defer ticker.Stop()
-	beats := &beatWriter{}
-	if err := p.beat(stream, beats); err != nil {
+	beats := &heartbeatWriter{}
+	if err := p.sendHeartbeat(stream, beats); err != nil {
 		return err
 	}
 	for {
@@ -127,14 +127,14 @@
 			if silence > wigeonspindle.SilenceLimit {
 				return errors.Newf("host %s was silent for %s", p.name, silence)
 			}
-			if err := p.beat(stream, beats); err != nil {
+			if err := p.sendHeartbeat(stream, beats); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (p *peer) beat(stream messenger.DRPCLink_ExchangeClient, beats *beatWriter) error {
+func (p *peer) sendHeartbeat(stream messenger.DRPCLink_ExchangeClient, beats *heartbeatWriter) error {
 	heartbeat := beats.shorten(p.linker.Heartbeat())
 	return p.send(stream, wigeonspindle.Envelope{Heartbeat: &heartbeat})
 }
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -12,6 +12,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/launcher"
 	"wigeonspindle.example/wigeonspindle/internal/transport/lister"
 	"wigeonspindle.example/wigeonspindle/internal/transport/requester"
@@ -82,9 +83,9 @@
 	}
 	c.bundle.Hosts.Set(listings)
 	for _, s := range settings {
-		targets := &sender.Sender{Clock: systemClock{}}
+		targets := &sender.Sender{Clock: timekeeper.System{}}
 		host := &launcher.Host{
-			Settings: s, Clock: systemClock{}, Logger: log.New(io.Discard), Sender: targets,
+			Settings: s, Clock: timekeeper.System{}, Logger: log.New(io.Discard), Sender: targets,
 			Store: &storer.Storer{Address: s.Store}, Lister: &lister.Lister{Address: s.Hosts},
 		}
 		if err := host.Run(); err != nil {
@@ -94,7 +95,7 @@
 	}
 	for _, domain := range c.deployment.Domains {
 		c.callers = append(c.callers, &requester.Requester{
-			Seeds: c.seeds(), Domain: domain, Caller: "caller-" + domain, Clock: systemClock{},
+			Seeds: c.seeds(), Domain: domain, Caller: "caller-" + domain, Clock: timekeeper.System{},
 		})
 	}
 	return nil
@@ -171,9 +172,3 @@
 	}
 	return c.bundle.Close()
 }
-
-// systemClock implements wigeonspindle.Clock.
-type systemClock struct{}
-
-// Now returns the current time with a monotonic reading.
-func (systemClock) Now() time.Time { return time.Now() }
--- /dev/null
+++ b/internal/transport/simulator/administration.go
@@ -0,0 +1,80 @@
+package simulator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
+)
+
+// Administration implements wigeonspindle.Administration without a host: its own fields
+// take the place of the store.
+type Administration struct {
+	Current  *wigeonspindle.Config
+	State    wigeonspindle.Status
+	Log      []wigeonspindle.Entry // Log holds the accepted changes, the newest first.
+	Timeline []wigeonspindle.Event
+	At       time.Time // At is the time of every change.
+	Soft     bool      // Soft is what SetDomain reports.
+	Fault    error     // Fault is what every call fails with.
+	Drains   int
+	Outs     map[string]bool // Outs holds the failure domains that were changed.
+
+	mutex sync.Mutex
+}
+
+// Config returns the configuration in force.
+func (a *Administration) Config() *wigeonspindle.Config {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.Current
+}
+
+// Status returns the state that was set.
+func (a *Administration) Status() wigeonspindle.Status { return a.State }
+
+// Events returns the events that match.
+func (a *Administration) Events(filter wigeonspindle.EventFilter) []wigeonspindle.Event {
+	return recorder.Select(a.Timeline, filter)
+}
+
+// Propose accepts every change unless a fault is set.
+func (a *Administration) Propose(_ context.Context, change wigeonspindle.Change, dry bool) (wigeonspindle.Entry, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.Fault != nil {
+		return wigeonspindle.Entry{}, a.Fault
+	}
+	entry := wigeonspindle.Entry{
+		Revision: change.Expected + 1, Identity: change.Identity, Author: change.Author, Reason: change.Reason,
+		At: a.At, Summary: []string{fmt.Sprintf("%d indexes", len(change.Config.Indexes))},
+	}
+	if !dry {
+		config := change.Config
+		config.Revision = entry.Revision
+		a.Current, a.Log = &config, append([]wigeonspindle.Entry{entry}, a.Log...)
+	}
+	return entry, nil
+}
+
+// History returns the accepted changes.
+func (a *Administration) History(context.Context) ([]wigeonspindle.Entry, error) {
+	return a.Log, a.Fault
+}
+
+// SetDomain notes the state of a failure domain.
+func (a *Administration) SetDomain(_ context.Context, domain string, out bool, _ string) (bool, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.Outs == nil {
+		a.Outs = make(map[string]bool)
+	}
+	a.Outs[domain] = out
+	return a.Soft, a.Fault
+}
+
+// Drain counts the planned stops.
+func (a *Administration) Drain() { a.Drains++ }
--- /dev/null
+++ b/internal/transport/simulator/meter.go
@@ -0,0 +1,56 @@
+package simulator
+
+import (
+	"sync"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Meter implements wigeonspindle.Meter. It counts sends and what full rings refused.
+type Meter struct {
+	Gate sync.RWMutex // Gate stops the query loops at their next send while it is held.
+
+	mutex   sync.Mutex
+	dropped map[string]int
+	sent    int
+}
+
+// Answered ignores an answer.
+func (m *Meter) Answered(string, wigeonspindle.Verdict, wigeonspindle.Coverage, time.Duration) {}
+
+// Refused ignores a refusal.
+func (m *Meter) Refused(string, wigeonspindle.Code) {}
+
+// Sent counts a send.
+func (m *Meter) Sent(string, wigeonspindle.SendKind) {
+	m.Gate.RLock()
+	defer m.Gate.RUnlock()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.sent++
+}
+
+// Dropped counts a dropped element.
+func (m *Meter) Dropped(ring string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.dropped == nil {
+		m.dropped = make(map[string]int)
+	}
+	m.dropped[ring]++
+}
+
+// Refusals returns how many elements a kind of ring refused.
+func (m *Meter) Refusals(ring string) int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.dropped[ring]
+}
+
+// Sends returns the number of sends.
+func (m *Meter) Sends() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.sent
+}
