limiter: let a target that was out of service return at the floor

Withdraw lowers the level when a target leaves, and a level that voters return meanwhile is ignored.

--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -28,7 +28,7 @@
 	Target wigeonspindle.Target
 	// Until is the end of the lease on the target.
 	Until time.Time
-	// Out marks a target whose failure domain is out of service.
+	// Out marks a target whose failure domain is out of service. Withdraw changes it.
 	Out bool
 	// Closing marks a target that the host gives back after its work in flight.
 	Closing bool
@@ -59,8 +59,23 @@
 	Refusal wigeonspindle.Refusal
 }
 
-// Restore sets the ramp level that the voters know. An unknown level, 0, is the floor.
-func (l *Limiter) Restore(level float64) { l.ramp.restore(level) }
+// Restore sets the ramp level that the voters know. An unknown level, 0, is the floor. What
+// they know of a target that is out of service is from before it left.
+func (l *Limiter) Restore(level float64) {
+	if l.Out {
+		level = 0
+	}
+	l.ramp.restore(level)
+}
+
+// Withdraw takes the target out of service or brings it back. A target that was out of
+// service is expected to return cold, so that the level falls to the floor.
+func (l *Limiter) Withdraw(out bool) {
+	if out && !l.Out {
+		l.ramp.fall()
+	}
+	l.Out = out
+}
 
 // Level returns the ramp level for the next owner, from the floor to 1. The level in Load is
 // relative to the speed of the target.
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -1,10 +1,6 @@
 package limiter_test
 
 import (
-	"encoding/json"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -12,16 +8,11 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/limiter"
+	"wigeonspindle.example/wigeonspindle/internal/state/replayer"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the generated cases, so that a failure repeats.
+func TestMain(m *testing.M) { replayer.Main(m, 20261204) }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -49,25 +40,7 @@
 }
 
 // TestTraces replays recorded traces, each of which guards one rule of the limiter.
-func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.json")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("traces: got %v, %v, want some", files, err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var recorded trace
-			if err := json.Unmarshal(data, &recorded); err != nil {
-				t.Fatal(err)
-			}
-			replay(t, recorded)
-		})
-	}
-}
+func TestTraces(t *testing.T) { replayer.Traces(t, replay) }
 
 func replay(t *testing.T, r trace) {
 	l := &limiter.Limiter{
@@ -101,6 +74,13 @@
 				l.Done(wigeonspindle.Outcome{Took: step.Took.Value(), Verdict: wigeonspindle.Ran}, now)
 			}
 			got = l.Level()
+		case "withdraw":
+			l.Withdraw(true)
+			l.Restore(1) // A new owner gets the level from before.
+			got = l.Level()
+		case "return":
+			l.Withdraw(false)
+			got = l.Level()
 		case "level":
 			got = l.Level()
 		case "report":
--- a/internal/transport/launcher/targets.go
+++ b/internal/transport/launcher/targets.go
@@ -155,7 +155,8 @@
 	if lease.fresh {
 		owned.limiter.Restore(lease.level)
 	}
-	owned.limiter.Until, owned.limiter.Out, owned.limiter.Closing = lease.until, lease.out, lease.closing
+	owned.limiter.Until, owned.limiter.Closing = lease.until, lease.closing
+	owned.limiter.Withdraw(lease.out)
 	l.advance(owned)
 	if l.owned[lease.target.Name] != nil {
 		l.host.leases.inputs.Offer(leaseInput{load: &targetLoad{name: lease.target.Name, load: owned.limiter.Load(), level: owned.limiter.Level()}})
