server: answer requests on connections accepted just before a stop

TestDrain failed in 2 of 6 runs with EOF 8.0 s after the stop began. Ruled out: kept-alive connections, since answers of a leaving host now carry 'Connection: close' and the failure stayed. Cause: net/http drops a request that it reads after Shutdown has begun, also on a new connection.

--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -32,8 +33,12 @@
 	Write       time.Duration // Write bounds the time from a request's header to its answer.
 	Logger      *log.Logger
 
-	http http.Server
-	done chan struct{}
+	http     http.Server
+	listener net.Listener
+	done     chan struct{}
+	mutex    sync.Mutex
+	busy     map[net.Conn]bool // busy holds the connections with a request to come or to answer.
+	quiet    chan struct{}     // quiet is closed when a closing listener has no busy connection.
 }
 
 // Run listens and starts serving.
@@ -43,6 +48,8 @@
 		return errors.Wrapf(err, "listen for %s on %s", l.Name, l.Address)
 	}
 	listener = netutil.LimitListener(listener, l.Connections)
+	l.listener, l.busy = listener, make(map[net.Conn]bool)
+	l.http.ConnState = l.track
 	l.http.Handler = l.Handler
 	l.http.ReadHeaderTimeout = headerTimeout
 	l.http.ReadTimeout = l.Read
@@ -52,7 +59,7 @@
 	l.done = make(chan struct{})
 	go func() {
 		defer close(l.done)
-		if err := l.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := l.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			l.Logger.Error("listener failed", "listener", l.Name, "error", err)
 		}
 	}()
@@ -60,16 +67,51 @@
 }
 
 // Close stops listening and waits for the requests in progress until ctx ends; then it
-// closes their connections.
+// closes their connections. The listener closes first, because a server that shuts down
+// drops requests on connections that it has just accepted.
 func (l *Listener) Close(ctx context.Context) error {
+	_ = l.listener.Close()
+	<-l.done
+	select {
+	case <-l.drained():
+	case <-ctx.Done():
+	case <-time.After(headerTimeout): // A new connection without a request ends by then.
+	}
 	err := l.http.Shutdown(ctx)
 	if err != nil {
 		err = errors.CombineErrors(err, l.http.Close())
 	}
-	<-l.done
 	return errors.Wrapf(err, "stop listener for %s", l.Name)
 }
 
+// track notes which connections are busy.
+func (l *Listener) track(connection net.Conn, state http.ConnState) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		l.busy[connection] = true
+		return
+	}
+	delete(l.busy, connection)
+	if l.quiet != nil && len(l.busy) == 0 {
+		close(l.quiet)
+		l.quiet = nil
+	}
+}
+
+// drained returns a channel that is closed when no connection is busy.
+func (l *Listener) drained() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	quiet := make(chan struct{})
+	if len(l.busy) == 0 {
+		close(quiet)
+	} else {
+		l.quiet = quiet
+	}
+	return quiet
+}
+
 // Refuse answers an unknown route, a wrong method or a failed handler with a refusal.
 func Refuse(err error, c echo.Context) {
 	if c.Response().Committed {
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -28,6 +28,8 @@
 	Query(ctx context.Context, query wigeonspindle.Query) wigeonspindle.Answer
 	// Addresses answers a caller in a failure domain, which may be empty.
 	Addresses(domain string) wigeonspindle.AddressAnswer
+	// Leaving reports that the host stops soon.
+	Leaving() bool
 }
 
 // Server serves callers.
@@ -80,11 +82,12 @@
 		return c.JSON(encoder.Status(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
 	}
 	answer := s.Frontend.Query(request.Context(), query)
+	if s.Frontend.Leaving() || answer.Refusal != nil && answer.Refusal.Code == wigeonspindle.CodeLeaving {
+		// The caller should connect to another host. A connection that it keeps could be
+		// closed at the end of the stop while its next request is on the way.
+		c.Response().Header().Set("Connection", "close")
+	}
 	if answer.Refusal != nil {
-		if answer.Refusal.Code == wigeonspindle.CodeLeaving {
-			// The caller should connect to another host, not reuse this connection.
-			c.Response().Header().Set("Connection", "close")
-		}
 		return c.JSON(encoder.Status(answer.Refusal), answer)
 	}
 	return c.JSON(http.StatusOK, answer)
