Move the interfaces that packages declared for themselves to the root package

Picker, Estimator and Budget stood in the coordinator, Frontend in the server and Sink in the recorder, against the rule that behaviour that varies has its interface in the root package.

--- a/interfaces.go
+++ b/interfaces.go
@@ -88,3 +88,48 @@
 	P50, P95, P99 time.Duration
 	Count         int // Count is the number of samples behind the quantiles.
 }
+
+// Picker chooses replicas.
+type Picker interface {
+	// Pick chooses a target for a shard, leaving out those already tried. It reports false
+	// when no replica is left.
+	Pick(index, version, shard string, tried []string, now time.Time) (string, bool)
+	// Holds reports whether a replica of the shard is not known to lack the snapshot.
+	Holds(index, version, shard string, now time.Time) bool
+	// Lacks notes that a target lacks the snapshot.
+	Lacks(target, version string, now time.Time)
+}
+
+// Estimator keeps the latency of the attempts of an index.
+type Estimator interface {
+	// Observe adds the time of a completed attempt.
+	Observe(took time.Duration, now time.Time)
+	// Estimate returns the quantiles of the latest attempts.
+	Estimate(now time.Time) Estimate
+}
+
+// Budget bounds extra attempts.
+type Budget interface {
+	// Earn adds the share of one attempt.
+	Earn()
+	// Take uses one token and reports whether there was one.
+	Take() bool
+	// Spare reports whether there is a token beyond the reserve for urgent attempts.
+	Spare() bool
+}
+
+// Frontend is what the callers' listener needs from a host.
+type Frontend interface {
+	// Query runs a query and waits for its answer.
+	Query(ctx context.Context, query Query) Answer
+	// Addresses answers a caller in a failure domain, which may be empty.
+	Addresses(domain string) AddressAnswer
+	// Leaving reports that the host stops soon.
+	Leaving() bool
+}
+
+// Sink receives the recorded events. Its calls are not ordered by stamp.
+type Sink interface {
+	// Write takes one event.
+	Write(event Event)
+}
--- a/internal/coordination/coordinator/coordinator.go
+++ b/internal/coordination/coordinator/coordinator.go
@@ -19,33 +19,6 @@
 	Event  *wigeonspindle.Event
 }
 
-// Picker chooses replicas.
-type Picker interface {
-	// Pick chooses a target for a shard, leaving out those already tried. It reports false
-	// when no replica is left.
-	Pick(index, version, shard string, tried []string, now time.Time) (string, bool)
-	// Holds reports whether a replica of the shard is not known to lack the snapshot.
-	Holds(index, version, shard string, now time.Time) bool
-	// Lacks notes that a target lacks the snapshot.
-	Lacks(target, version string, now time.Time)
-}
-
-// Estimator keeps the latency of the index's attempts.
-type Estimator interface {
-	Observe(took time.Duration, now time.Time)
-	Estimate(now time.Time) wigeonspindle.Estimate
-}
-
-// Budget bounds extra attempts.
-type Budget interface {
-	// Earn adds the share of one attempt.
-	Earn()
-	// Take uses one token and reports whether there was one.
-	Take() bool
-	// Spare reports whether there is a token beyond the reserve for urgent attempts.
-	Spare() bool
-}
-
 // Limits of the attempts of one shard.
 const (
 	// maxRuns bounds the attempts of a shard that targets may have run, so that a request
@@ -66,11 +39,11 @@
 type Coordinator struct {
 	Query     wigeonspindle.Query
 	Index     *wigeonspindle.Index
-	Picker    Picker
+	Picker    wigeonspindle.Picker
 	Policy    wigeonspindle.Policy
-	Estimator Estimator
-	Hedges    Budget // Hedges bounds the hedges of the host.
-	Retries   Budget // Retries bounds the retries of attempts that may have run.
+	Estimator wigeonspindle.Estimator
+	Hedges    wigeonspindle.Budget // Hedges bounds the hedges of the host.
+	Retries   wigeonspindle.Budget // Retries bounds the retries of attempts that may have run.
 	// Canary sends one shard first because the fingerprint has not succeeded lately.
 	Canary bool
 	// Alone reports whether the fingerprint is suspected of crashing targets.
--- a/internal/state/recorder/recorder.go
+++ b/internal/state/recorder/recorder.go
@@ -10,18 +10,13 @@
 	"wigeonspindle.example/wigeonspindle"
 )
 
-// Sink receives the recorded events. Its calls are not ordered by stamp.
-type Sink interface {
-	Write(event wigeonspindle.Event)
-}
-
 // Recorder implements wigeonspindle.Recorder. The oldest events are overwritten.
 type Recorder struct {
 	Clock  wigeonspindle.Clock
 	Host   string
 	Domain string
-	Size   int  // Size is the number of events kept.
-	Sink   Sink // Sink receives each event after it was stamped; nil means none.
+	Size   int                // Size is the number of events kept.
+	Sink   wigeonspindle.Sink // Sink receives each event after it was stamped; nil means none.
 
 	mutex  sync.Mutex
 	last   wigeonspindle.Stamp
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -22,20 +22,10 @@
 	defaultConnections = 4096
 )
 
-// Frontend is what the listener needs from the host.
-type Frontend interface {
-	// Query runs a query and waits for its answer.
-	Query(ctx context.Context, query wigeonspindle.Query) wigeonspindle.Answer
-	// Addresses answers a caller in a failure domain, which may be empty.
-	Addresses(domain string) wigeonspindle.AddressAnswer
-	// Leaving reports that the host stops soon.
-	Leaving() bool
-}
-
 // Server serves callers.
 type Server struct {
 	Address     string
-	Frontend    Frontend
+	Frontend    wigeonspindle.Frontend
 	Clock       wigeonspindle.Clock
 	Logger      *log.Logger
 	Body        int64         // Body is the largest request body in bytes; zero means the default.
