limiter: do not wake for a slot that is taken after the lease has ended

Found on reading the change again: with nothing waiting, Wake returned the end of the lease also when that had passed, so that the target loop set its timer to zero again and again until the slot of a cancelled or expired attempt became free (up to 4 ms). Wake now names the time of the slot, and the end of the lease only while attempts wait.

--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -276,24 +276,25 @@
 // Wake returns when Expire or Next may have something to do although nothing else happens.
 func (l *Limiter) Wake(now time.Time) (time.Time, bool) {
 	l.free(now)
-	if len(l.waiting) == 0 && len(l.held) == 0 {
-		return time.Time{}, false
+	var wake time.Time
+	consider := func(at time.Time) {
+		if wake.IsZero() || at.Before(wake) {
+			wake = at
+		}
 	}
-	wake := l.Until
 	for _, until := range l.held {
-		if until.Before(wake) {
-			wake = until
-		}
+		consider(until)
 	}
 	for _, attempt := range l.waiting {
-		if attempt.Deadline.Before(wake) {
-			wake = attempt.Deadline
-		}
+		consider(attempt.Deadline)
 	}
-	if paced := l.ramp.next(l.Target.Floor); len(l.waiting) > 0 && paced.After(now) && paced.Before(wake) {
-		wake = paced
+	if len(l.waiting) > 0 {
+		consider(l.Until)
+		if paced := l.ramp.next(l.Target.Floor); paced.After(now) {
+			consider(paced)
+		}
 	}
-	return wake, true
+	return wake, !wake.IsZero()
 }
 
 // Load returns the owner's view of the target.
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -83,6 +83,9 @@
 		case "return":
 			l.Withdraw(false)
 			got = l.Level()
+		case "wake":
+			wake, _ := l.Wake(now)
+			got = wake.Sub(epoch).Seconds()
 		case "level":
 			got = l.Level()
 		case "report":
