--- a/internal/transport/launcher/forwards.go
+++ b/internal/transport/launcher/forwards.go
@@ -5,6 +5,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/deduplicator"
+	"wigeonspindle.example/wigeonspindle/internal/state/scheduler"
 )
 
 // forwarding is a once request that this host handed to the incarnation that its identity
@@ -12,7 +13,7 @@
 type forwarding struct {
 	waiter waiter
 	host   string
-	timer  *timer
+	timer  *scheduler.Timer
 }
 
 // acceptOnce runs a once request that names this incarnation, unless it ran before, and
@@ -69,7 +70,7 @@
 		return
 	}
 	entry := &forwarding{waiter: waiter{query, input.respond}, host: host}
-	entry.timer = l.timers.add(query.Deadline, func(time.Time) { l.finish(counter, gone(query)) })
+	entry.timer = l.timers.Add(query.Deadline, func(time.Time) { l.finish(counter, gone(query)) })
 	l.forwards[counter] = entry
 	l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventSent, Trace: query.Trace, Peer: host, Detail: "forwarded"})
 }
@@ -96,7 +97,7 @@
 		return
 	}
 	delete(l.forwards, counter)
-	l.timers.remove(entry.timer)
+	l.timers.Remove(entry.timer)
 	answer.ID, answer.Trace = entry.waiter.query.ID, entry.waiter.query.Trace
 	entry.waiter.respond(answer)
 }
--- a/internal/transport/launcher/outcomes.go
+++ b/internal/transport/launcher/outcomes.go
@@ -99,7 +99,7 @@
 			at = waiter.query.Deadline
 		}
 	}
-	l.timers.move(running.timer, at)
+	l.timers.Move(running.timer, at)
 }
 
 // act carries out the actions of a query. Sends wait for the end of the turn.
@@ -162,7 +162,7 @@
 func (l *queryLoop) conclude(running *runningQuery, answer wigeonspindle.Answer) {
 	if running.coordinator != nil {
 		delete(l.running, running.query.ID)
-		l.timers.remove(running.timer)
+		l.timers.Remove(running.timer)
 		l.admitter.Done(running.query.Caller, running.shards)
 	}
 	if running.query.Class == wigeonspindle.Once {
--- a/internal/transport/launcher/queries.go
+++ b/internal/transport/launcher/queries.go
@@ -16,6 +16,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/router"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
+	"wigeonspindle.example/wigeonspindle/internal/state/scheduler"
 )
 
 // Bounds of the rings and tables of a query loop.
@@ -54,7 +55,7 @@
 
 	counter    uint64
 	running    map[uint64]*runningQuery
-	timers     timers
+	timers     scheduler.Timers
 	picker     *router.Picker
 	placement  *wigeonspindle.Placement
 	estimators map[string]*hedger.Estimator
@@ -99,7 +100,7 @@
 	waiters     []waiter
 	coordinator *coordinator.Coordinator
 	estimator   *hedger.Estimator
-	timer       *timer
+	timer       *scheduler.Timer
 	sent        map[uint64]sentAttempt // sent is keyed by the attempt's counter.
 	shards      int                    // shards is the work counted by the admitter.
 }
@@ -251,9 +252,9 @@
 		for _, input := range l.queries.Drain(queries) {
 			l.accept(input)
 		}
-		l.timers.run(l.host.Clock.Now())
+		l.timers.Run(l.host.Clock.Now())
 		l.flush()
-		next.Reset(l.timers.wait(l.host.Clock.Now()))
+		next.Reset(l.timers.Wait(l.host.Clock.Now()))
 	}
 }
 
@@ -277,7 +278,7 @@
 	refusal := l.admit(running)
 	if refusal == nil {
 		l.running[running.query.ID] = running
-		running.timer = l.timers.add(running.query.Deadline, func(now time.Time) { l.tick(running, now) })
+		running.timer = l.timers.Add(running.query.Deadline, func(now time.Time) { l.tick(running, now) })
 		l.host.recorder.Record(wigeonspindle.Event{Kind: wigeonspindle.EventAdmitted, Trace: running.query.Trace, Detail: running.query.Index})
 		l.act(running, running.coordinator.Start(l.host.Clock.Now()))
 		return
