Serve the platform's callers: routes, discovery, fan-out and one role

A host sends to replicas itself; nothing is agreed between hosts except through the registry.

- root types: Catalog, Replica, World, Call, Exchange and the interfaces Registry, Dialect, Gateway, Directory, CallMeter
- state/registrar: beliefs from the registry; versions only grow; entries that lapse around an outage are believed until 2.2 s after it
- coordination: matcher, selector, budgeter, gatherer, merger decide without sockets or clock
- transport: exchanger (own connections, nothing is repeated below it), dispatcher (one duty owns all calls), watcher and announcer, supervisor

Ruled out: an owner for each target as in the launcher, which costs a second hop and its processor time for each send.

--- a/interfaces.go
+++ b/interfaces.go
@@ -133,3 +133,13 @@
 	// Write takes one event.
 	Write(event Event)
 }
+
+// CallMeter receives the measurements of calls. Its methods must not block.
+type CallMeter interface {
+	// Replied counts a call by its outcome and its latency.
+	Replied(route, outcome string, took time.Duration)
+	// Covered counts the parts that are in an answer and those that it was to have.
+	Covered(route string, in, total int)
+	// Sent counts a send to a replica.
+	Sent(route string, kind SendKind)
+}
--- /dev/null
+++ b/internal/coordination/merger/merger.go
@@ -0,0 +1,36 @@
+// Package merger merges the parts of a query over many shards.
+package merger
+
+import (
+	"bytes"
+	"slices"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// RecordSize is the size of a record in bytes.
+const RecordSize = 16
+
+// Merge returns the greatest top records of the parts, the greatest first. A remainder of a
+// part that is shorter than a record is dropped. Missing is the number of absent shards.
+func Merge(parts []*wigeonspindle.Response, missing, top int) *wigeonspindle.Merged {
+	merged := &wigeonspindle.Merged{Missing: missing}
+	count := 0
+	for _, part := range parts {
+		count += len(part.Body) / RecordSize
+	}
+	records := make([][]byte, 0, count)
+	for _, part := range parts {
+		merged.Seals = append(merged.Seals, part.Seal)
+		for body := part.Body; len(body) >= RecordSize; body = body[RecordSize:] {
+			records = append(records, body[:RecordSize])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	records = records[:min(top, len(records))]
+	merged.Body = make([]byte, 0, len(records)*RecordSize)
+	for _, record := range records {
+		merged.Body = append(merged.Body, record...)
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/coordination/selector/selector.go
@@ -0,0 +1,263 @@
+// Package selector chooses the replica of a pool that is expected to answer first, from what
+// this host has seen of each replica: answers, failures, sends without an answer, and the
+// load that replicas tell.
+package selector
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Constants of the choice.
+const (
+	// learning is the weight of a new sample in the averages; a replica that turns slow
+	// stands out after two or three answers.
+	learning = 0.3
+	// recovery is the half-life with which bad averages return to normal, so that a replica
+	// that is avoided is tried again.
+	recovery = 1500 * time.Millisecond
+	// sampleLimit bounds one sample, in expected times, so that a single pause does not
+	// condemn a replica.
+	sampleLimit = 8.0
+	// firstBlock is how long a replica whose connections fail gets no calls; each further
+	// failure doubles it up to lastBlock.
+	firstBlock = 100 * time.Millisecond
+	lastBlock  = 2 * time.Second
+	// silence is the age of an unanswered send, in expected times, from which a replica
+	// counts as silent; silenceFloor is its least value. A pause of a replica is shorter.
+	silence      = 10
+	silenceFloor = 400 * time.Millisecond
+	// crossDomain is the cost of another failure domain: about the time on the way there
+	// and back, and the price of traffic between domains.
+	crossDomain = 2 * time.Millisecond
+	// coldFactor is how much slower a cold replica is expected to be.
+	coldFactor = 2.5
+	// failurePenalty is the cost of a certain failure, in expected times.
+	failurePenalty = 8.0
+	// loadAge is how long a load that a replica told is believed.
+	loadAge = 150 * time.Millisecond
+	// jitter spreads the choices of hosts that have seen the same.
+	jitter = 0.15
+	// coldBurst is the number of calls that a host may send to a cold replica at once.
+	coldBurst = 1.0
+)
+
+// Selector holds what a host has seen of the replicas.
+type Selector struct {
+	Domain string // Domain is the failure domain of the host.
+	Random *rand.Rand
+
+	standings map[string]*standing
+}
+
+// standing is what is known about one replica.
+type standing struct {
+	sent     []time.Time // sent holds the times of the sends without an answer.
+	slowness float64     // slowness is the average of observed to expected times.
+	failing  float64     // failing is the average share of failed sends.
+	updated  time.Time
+	failures int       // failures counts connection failures in a row.
+	blocked  time.Time // blocked is when the replica may be tried again.
+	load     wigeonspindle.TargetLoad
+	loadSeen time.Time
+	tokens   float64 // tokens is the number of calls that may be sent while the replica is cold.
+	refilled time.Time
+}
+
+// Pick chooses a replica of a pool for a call that is expected to take some time. It leaves
+// out the replicas already tried and reports false when none is usable.
+func (s *Selector) Pick(world *wigeonspindle.World, pool string, tried []string, expected time.Duration, now time.Time) (*wigeonspindle.Replica, bool) {
+	var best *wigeonspindle.Replica
+	lowest := math.Inf(1)
+	for _, replica := range world.Replicas[pool] {
+		if !Open(world, replica) || contains(tried, replica.ID) {
+			continue
+		}
+		standing := s.standing(replica.ID, now)
+		if !standing.usable(expected, now) || !s.admits(world, replica, standing, now) {
+			continue
+		}
+		if cost := s.cost(replica, standing, expected, now); cost < lowest {
+			best, lowest = replica, cost
+		}
+	}
+	return best, best != nil
+}
+
+// Usable reports whether a replica of the pool could take a call now.
+func (s *Selector) Usable(world *wigeonspindle.World, pool string, expected time.Duration, now time.Time) bool {
+	for _, replica := range world.Replicas[pool] {
+		if Open(world, replica) && s.standing(replica.ID, now).usable(expected, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Open reports whether a replica may receive new work.
+func Open(world *wigeonspindle.World, replica *wigeonspindle.Replica) bool {
+	return !replica.Draining && !world.Out[replica.Domain]
+}
+
+// Sent notes a send.
+func (s *Selector) Sent(world *wigeonspindle.World, replica *wigeonspindle.Replica, now time.Time) {
+	standing := s.standing(replica.ID, now)
+	standing.sent = append(standing.sent, now)
+	if now.Before(replica.WarmAt) && world.Catalog.Pools[replica.Pool].WarmupRate > 0 {
+		standing.tokens--
+	}
+}
+
+// Finished notes the result of a send that was made at a time and expected to take a while.
+func (s *Selector) Finished(id string, sent time.Time, expected time.Duration, exchange wigeonspindle.Exchange, now time.Time) {
+	standing := s.standing(id, now)
+	standing.remove(sent)
+	standing.decay(now)
+	if response := exchange.Response; response != nil && response.Load.Known {
+		standing.load, standing.loadSeen = response.Load, now
+	}
+	if exchange.Response == nil {
+		if exchange.Code != wigeonspindle.CodeCancelled && exchange.Code != wigeonspindle.CodeOverloaded {
+			standing.block(now)
+		}
+		return
+	}
+	standing.failures, standing.blocked = 0, time.Time{}
+	failed := 0.0
+	if exchange.Response.Refused || exchange.Response.Status >= 500 {
+		failed = 1
+	}
+	standing.failing += learning * (failed - standing.failing)
+	if failed == 0 {
+		ratio := min(float64(exchange.Took)/float64(max(expected, time.Millisecond)), sampleLimit)
+		standing.slowness += learning * (ratio - standing.slowness)
+	}
+}
+
+// Unreachable notes that no connection to a replica could be opened.
+func (s *Selector) Unreachable(id string, now time.Time) { s.standing(id, now).block(now) }
+
+// Keep drops what is known about replicas that the world no longer holds.
+func (s *Selector) Keep(world *wigeonspindle.World) {
+	known := make(map[string]bool)
+	for _, replicas := range world.Replicas {
+		for _, replica := range replicas {
+			known[replica.ID] = true
+		}
+	}
+	for id, standing := range s.standings {
+		if !known[id] && len(standing.sent) == 0 {
+			delete(s.standings, id)
+		}
+	}
+}
+
+// cost is the time until the answer, as expected from what is known.
+func (s *Selector) cost(replica *wigeonspindle.Replica, standing *standing, expected time.Duration, now time.Time) float64 {
+	standing.decay(now)
+	slots := float64(max(replica.Slots, 1))
+	queue := float64(len(standing.sent))
+	if standing.load.Known && now.Sub(standing.loadSeen) < loadAge {
+		queue = max(queue, float64(standing.load.Waiting+standing.load.Running))
+	}
+	slowness := max(standing.slowness, 0.5)
+	if age := standing.age(now); age > expected {
+		slowness = max(slowness, float64(age)/float64(expected))
+	}
+	if now.Before(replica.WarmAt) {
+		slowness *= coldFactor
+	}
+	// Work that fits into free slots delays a call little; work beyond them makes it wait.
+	waiting := 0.3*queue/slots + max(queue+1-slots, 0)/slots
+	cost := float64(expected) * (slowness*(1+waiting) + failurePenalty*standing.failing)
+	if replica.Domain != s.Domain {
+		cost += float64(crossDomain)
+	}
+	return cost * (1 + jitter*s.Random.Float64())
+}
+
+// admits reports whether a cold replica may get one more call. The hosts share the load
+// that a cold replica bears.
+func (s *Selector) admits(world *wigeonspindle.World, replica *wigeonspindle.Replica, standing *standing, now time.Time) bool {
+	if !now.Before(replica.WarmAt) {
+		return true
+	}
+	rate := world.Catalog.Pools[replica.Pool].WarmupRate / float64(max(len(world.Peers), 1))
+	if rate <= 0 {
+		return true
+	}
+	if standing.refilled.IsZero() {
+		// Hosts that learn of the replica at the same time must not all send at once.
+		standing.tokens = s.Random.Float64() * coldBurst
+	} else {
+		standing.tokens = min(standing.tokens+rate*now.Sub(standing.refilled).Seconds(), coldBurst)
+	}
+	standing.refilled = now
+	return standing.tokens >= coldBurst
+}
+
+func (s *Selector) standing(id string, now time.Time) *standing {
+	if s.standings == nil {
+		s.standings = make(map[string]*standing)
+	}
+	known, ok := s.standings[id]
+	if !ok {
+		known = &standing{slowness: 1, updated: now}
+		s.standings[id] = known
+	}
+	return known
+}
+
+// usable reports whether the replica is neither blocked after failures nor silent.
+func (st *standing) usable(expected time.Duration, now time.Time) bool {
+	return !now.Before(st.blocked) && st.age(now) < max(silence*expected, silenceFloor)
+}
+
+// age returns the age of the oldest send without an answer.
+func (st *standing) age(now time.Time) time.Duration {
+	if len(st.sent) == 0 {
+		return 0
+	}
+	return now.Sub(st.sent[0])
+}
+
+func (st *standing) remove(sent time.Time) {
+	for i, at := range st.sent {
+		if at.Equal(sent) {
+			st.sent = append(st.sent[:i], st.sent[i+1:]...)
+			return
+		}
+	}
+}
+
+func (st *standing) block(now time.Time) {
+	period := min(firstBlock<<min(st.failures, 8), lastBlock)
+	st.failures++
+	st.blocked = now.Add(period)
+}
+
+// decay lets bad averages return to normal.
+func (st *standing) decay(now time.Time) {
+	elapsed := now.Sub(st.updated)
+	if elapsed <= 0 {
+		return
+	}
+	st.updated = now
+	keep := math.Exp2(-float64(elapsed) / float64(recovery))
+	if st.slowness > 1 {
+		st.slowness = 1 + (st.slowness-1)*keep
+	}
+	st.failing *= keep
+}
+
+func contains(ids []string, id string) bool {
+	for _, known := range ids {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/state/registrar/registrar.go
@@ -0,0 +1,199 @@
+// Package registrar keeps what a host believes about its deployment, from the entries of
+// the registry. Versions of the configuration only grow, and entries that vanish around an
+// outage of the registry are believed until their owners had time to enter themselves again.
+package registrar
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Registrar keeps the entries and publishes the world that they make up.
+type Registrar struct {
+	// Return is how long after the end of an outage entries may be missing.
+	Return time.Duration
+
+	world    atomic.Pointer[wigeonspindle.World]
+	mutex    sync.Mutex // mutex guards the fields below.
+	catalog  *wigeonspindle.Catalog
+	replicas map[string]replicaEntry
+	peers    map[string]peerEntry
+	out      map[string]bool
+	lost     bool      // lost reports that the registry does not answer.
+	trusted  time.Time // trusted is when missing entries count as gone again.
+	seen     time.Time
+}
+
+type replicaEntry struct {
+	replica *wigeonspindle.Replica
+	lapsed  bool // lapsed marks an entry that vanished around an outage.
+}
+
+type peerEntry struct {
+	peer   wigeonspindle.Peer
+	lapsed bool
+}
+
+// World returns the current beliefs, which must not be modified. It is never nil.
+func (r *Registrar) World() *wigeonspindle.World {
+	if world := r.world.Load(); world != nil {
+		return world
+	}
+	return &wigeonspindle.World{}
+}
+
+// Lost notes that the registry does not answer, and reports whether it did before.
+func (r *Registrar) Lost() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	changed := !r.lost
+	r.lost = true
+	return changed
+}
+
+// Apply takes changes and publishes the new world.
+func (r *Registrar) Apply(updates []wigeonspindle.Update, now time.Time) *wigeonspindle.World {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.answered(now)
+	for i := range updates {
+		r.apply(&updates[i], now)
+	}
+	return r.publish(now)
+}
+
+// Replace takes all entries of the registry; what it does not name is gone.
+func (r *Registrar) Replace(updates []wigeonspindle.Update, now time.Time) *wigeonspindle.World {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.answered(now)
+	named := make(map[wigeonspindle.Subject]map[string]bool)
+	for i := range updates {
+		update := &updates[i]
+		if named[update.Subject] == nil {
+			named[update.Subject] = make(map[string]bool)
+		}
+		named[update.Subject][update.Name] = true
+	}
+	for id := range r.replicas {
+		if !named[wigeonspindle.SubjectReplica][id] {
+			r.apply(&wigeonspindle.Update{Subject: wigeonspindle.SubjectReplica, Name: id, Gone: true}, now)
+		}
+	}
+	for name := range r.peers {
+		if !named[wigeonspindle.SubjectPeer][name] {
+			r.apply(&wigeonspindle.Update{Subject: wigeonspindle.SubjectPeer, Name: name, Gone: true}, now)
+		}
+	}
+	for domain := range r.out {
+		if !named[wigeonspindle.SubjectDomain][domain] {
+			delete(r.out, domain)
+		}
+	}
+	for i := range updates {
+		r.apply(&updates[i], now)
+	}
+	return r.publish(now)
+}
+
+// answered notes that the registry answers.
+func (r *Registrar) answered(now time.Time) {
+	if r.lost {
+		r.lost = false
+		r.trusted = now.Add(r.Return)
+	}
+	r.seen = now
+}
+
+func (r *Registrar) apply(update *wigeonspindle.Update, now time.Time) {
+	switch update.Subject {
+	case wigeonspindle.SubjectCatalog:
+		if update.Catalog != nil && (r.catalog == nil || update.Catalog.Version > r.catalog.Version) {
+			r.catalog = update.Catalog
+		}
+	case wigeonspindle.SubjectReplica:
+		r.applyReplica(update, now)
+	case wigeonspindle.SubjectPeer:
+		r.applyPeer(update, now)
+	case wigeonspindle.SubjectDomain:
+		if r.out == nil {
+			r.out = make(map[string]bool)
+		}
+		r.out[update.Name] = true
+		if update.Gone {
+			delete(r.out, update.Name)
+		}
+	}
+}
+
+func (r *Registrar) applyReplica(update *wigeonspindle.Update, now time.Time) {
+	if r.replicas == nil {
+		r.replicas = make(map[string]replicaEntry)
+	}
+	known, ok := r.replicas[update.Name]
+	switch {
+	case update.Gone && ok && now.Before(r.trusted):
+		known.lapsed = true
+		r.replicas[update.Name] = known
+	case update.Gone || update.Replica == nil:
+		delete(r.replicas, update.Name)
+	case ok && stale(known.replica, update.Replica):
+		// An older report of the same run, or of an earlier run, arrived late.
+	default:
+		r.replicas[update.Name] = replicaEntry{replica: update.Replica}
+	}
+}
+
+// stale reports whether a report is older than the known one of the same replica.
+func stale(known, next *wigeonspindle.Replica) bool {
+	if known.Born != next.Born {
+		return next.Born < known.Born
+	}
+	return next.Sequence < known.Sequence
+}
+
+func (r *Registrar) applyPeer(update *wigeonspindle.Update, now time.Time) {
+	if r.peers == nil {
+		r.peers = make(map[string]peerEntry)
+	}
+	known, ok := r.peers[update.Name]
+	switch {
+	case update.Gone && ok && now.Before(r.trusted):
+		known.lapsed = true
+		r.peers[update.Name] = known
+	case update.Gone:
+		delete(r.peers, update.Name)
+	default:
+		r.peers[update.Name] = peerEntry{peer: update.Peer}
+	}
+}
+
+// publish makes the world from the entries.
+func (r *Registrar) publish(now time.Time) *wigeonspindle.World {
+	if !now.Before(r.trusted) {
+		maps.DeleteFunc(r.replicas, func(_ string, entry replicaEntry) bool { return entry.lapsed })
+		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.lapsed })
+	}
+	world := &wigeonspindle.World{
+		Catalog: r.catalog, Out: maps.Clone(r.out), Seen: r.seen,
+		Replicas: make(map[string][]*wigeonspindle.Replica),
+	}
+	for _, entry := range r.replicas {
+		world.Replicas[entry.replica.Pool] = append(world.Replicas[entry.replica.Pool], entry.replica)
+	}
+	for _, replicas := range world.Replicas {
+		slices.SortFunc(replicas, func(a, b *wigeonspindle.Replica) int { return strings.Compare(a.ID, b.ID) })
+	}
+	for _, entry := range r.peers {
+		world.Peers = append(world.Peers, entry.peer)
+	}
+	slices.SortFunc(world.Peers, func(a, b wigeonspindle.Peer) int { return strings.Compare(a.Name, b.Name) })
+	r.world.Store(world)
+	return world
+}
--- /dev/null
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -0,0 +1,354 @@
+// Package dispatcher is the duty that serves the calls of a host: it alone owns the state of
+// all calls and of the connections to replicas, and carries out what the decisions say.
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/matcher"
+	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
+	"wigeonspindle.example/wigeonspindle/internal/state/scheduler"
+	"wigeonspindle.example/wigeonspindle/internal/transport/exchanger"
+)
+
+// Constants of the duty.
+const (
+	// callRing bounds the calls that wait for the duty; more are refused. A host serves
+	// about ten calls a second for each tenth of a core.
+	callRing = 256
+	// eventRing bounds the events of connections; a connection waits for room.
+	eventRing = 256
+	// breakDelay is how long a replica may work on a call whose caller has left. Most sends
+	// end by themselves in that time and keep their connection.
+	breakDelay = 250 * time.Millisecond
+	// overrun is how long after the end of a call a replica may still answer, so that its
+	// connection is kept.
+	overrun = 250 * time.Millisecond
+	// connectionShare is the part of a replica's connections that all hosts together use;
+	// the rest is for hosts that stop and start.
+	connectionShare = 0.8
+	// freshIdle is the longest idle time of a connection that carries a call that must not
+	// run twice: a connection that ends under such a call loses it.
+	freshIdle = time.Second
+	// knowledgeLimit is the age of the beliefs from which an unknown route may be a new one.
+	knowledgeLimit = 3 * time.Second
+	// unknownRetry is when a caller may ask again for a route that may be new.
+	unknownRetry = 500 * time.Millisecond
+)
+
+// Dispatcher implements wigeonspindle.Gateway.
+type Dispatcher struct {
+	Gatherer *gatherer.Gatherer
+	Dialect  wigeonspindle.Dialect
+	Clock    wigeonspindle.Clock
+	Meter    wigeonspindle.CallMeter
+	Logger   *log.Logger
+
+	calls     *queuer.Ring[*pending]
+	cancels   *queuer.Ring[*pending]
+	worlds    *queuer.Ring[*wigeonspindle.World]
+	events    *queuer.Ring[exchanger.Event]
+	pool      *exchanger.Pool
+	timers    scheduler.Timers
+	world     *wigeonspindle.World
+	matcher   *matcher.Matcher
+	connected *wigeonspindle.Catalog // connected is the catalog whose pools have connections.
+	stop      chan struct{}
+	done      sync.WaitGroup
+}
+
+// pending is one call.
+type pending struct {
+	call   *wigeonspindle.Call
+	route  *wigeonspindle.Route
+	gather *gatherer.Gather
+	reply  chan wigeonspindle.CallReply
+	timer  *scheduler.Timer
+	jobs   []*exchanger.Job // jobs are the sends without a result.
+	left   bool             // left reports that the caller has left.
+	breaks time.Time        // breaks is when the remaining sends of a decided call are ended.
+}
+
+// key finds the send of a job.
+type key struct {
+	pending *pending
+	send    gatherer.Send
+}
+
+// Run starts the duty.
+func (d *Dispatcher) Run() {
+	d.calls = queuer.New[*pending](callRing)
+	d.cancels = queuer.New[*pending](callRing)
+	d.worlds = queuer.New[*wigeonspindle.World](1)
+	d.events = queuer.New[exchanger.Event](eventRing)
+	d.stop = make(chan struct{})
+	d.world = &wigeonspindle.World{}
+	d.pool = &exchanger.Pool{Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, Done: d.finished}
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		d.loop()
+	}()
+}
+
+// Close ends the duty and the connections and waits for both.
+func (d *Dispatcher) Close() {
+	close(d.stop)
+	d.done.Wait()
+	d.pool.Close()
+}
+
+// Update hands over new beliefs. Only the newest ones count.
+func (d *Dispatcher) Update(world *wigeonspindle.World) {
+	for !d.worlds.Offer(world) {
+		select {
+		case <-d.worlds.C():
+		default:
+		}
+	}
+}
+
+// Handle implements wigeonspindle.Gateway.
+func (d *Dispatcher) Handle(ctx context.Context, call *wigeonspindle.Call) wigeonspindle.CallReply {
+	p := &pending{call: call, reply: make(chan wigeonspindle.CallReply, 1)}
+	if !d.calls.Offer(p) {
+		return refusal(wigeonspindle.CodeOverloaded, wigeonspindle.NotRun, "too many calls are waiting", unknownRetry)
+	}
+	select {
+	case reply := <-p.reply:
+		return reply
+	case <-ctx.Done():
+		d.cancels.Put(p, d.stop)
+		return refusal(wigeonspindle.CodeCancelled, wigeonspindle.MayHaveRun, "the caller has left", 0)
+	case <-d.stop:
+		return refusal(wigeonspindle.CodeLeaving, wigeonspindle.MayHaveRun, "the host has stopped", 0)
+	}
+}
+
+func (d *Dispatcher) loop() {
+	next := time.NewTimer(time.Hour)
+	defer next.Stop()
+	for {
+		select {
+		case p := <-d.calls.C():
+			d.start(p)
+		case event := <-d.events.C():
+			d.pool.Handle(event)
+		case p := <-d.cancels.C():
+			d.cancel(p)
+		case world := <-d.worlds.C():
+			d.believe(world)
+		case <-next.C:
+		case <-d.stop:
+			return
+		}
+		d.timers.Run(d.Clock.Now())
+		next.Reset(d.timers.Wait(d.Clock.Now()))
+	}
+}
+
+// believe takes new beliefs.
+func (d *Dispatcher) believe(world *wigeonspindle.World) {
+	if world.Catalog != d.world.Catalog && world.Catalog != nil {
+		d.matcher = matcher.New(world.Catalog)
+	}
+	d.world = world
+	d.Gatherer.Keep(world)
+	known := make(map[string]bool)
+	for _, replicas := range world.Replicas {
+		for _, replica := range replicas {
+			known[replica.ID] = true
+		}
+	}
+	d.pool.Keep(func(id string) bool { return known[id] })
+	d.prepare(world)
+}
+
+// prepare opens a connection to each replica that routes name, so that calls need not wait
+// for one.
+func (d *Dispatcher) prepare(world *wigeonspindle.World) {
+	if world.Catalog == nil {
+		return
+	}
+	used := make(map[string]bool)
+	for i := range world.Catalog.Routes {
+		route := &world.Catalog.Routes[i]
+		for _, pool := range route.Shards {
+			used[pool] = true
+		}
+		for _, share := range route.Split {
+			used[share.Pool] = true
+		}
+	}
+	for pool := range used {
+		for _, replica := range world.Replicas[pool] {
+			if !replica.Draining && !world.Out[replica.Domain] {
+				d.pool.Prepare(replica)
+			}
+		}
+	}
+}
+
+// start begins a call.
+func (d *Dispatcher) start(p *pending) {
+	if p.left {
+		return
+	}
+	now := d.Clock.Now()
+	if reply, ok := d.find(p, now); !ok {
+		d.conclude(p, reply, now)
+		return
+	}
+	gather, step := d.Gatherer.Start(p.call, p.route, d.world, now)
+	p.gather = gather
+	d.perform(p, step, now)
+}
+
+// find sets the route of a call, or returns the refusal.
+func (d *Dispatcher) find(p *pending, now time.Time) (wigeonspindle.CallReply, bool) {
+	if d.matcher == nil {
+		return refusal(wigeonspindle.CodeUnavailable, wigeonspindle.NotRun, "no configuration is known yet", unknownRetry), false
+	}
+	p.route = d.matcher.Match(p.call.Authority, p.call.Path)
+	if p.route != nil {
+		return wigeonspindle.CallReply{}, true
+	}
+	if now.Sub(d.world.Seen) > knowledgeLimit {
+		return refusal(wigeonspindle.CodeUnavailable, wigeonspindle.NotRun, "the route is not known and the registry does not answer", unknownRetry), false
+	}
+	return refusal(wigeonspindle.CodeInvalid, wigeonspindle.NotRun, "no route matches", 0), false
+}
+
+// perform carries out a step of a call.
+func (d *Dispatcher) perform(p *pending, step gatherer.Step, now time.Time) {
+	if step.Reply != nil {
+		d.conclude(p, *step.Reply, now)
+		return
+	}
+	if p.gather.Decided() {
+		return
+	}
+	d.arm(p, step.Wake)
+	for _, send := range step.Sends {
+		d.send(p, send, now)
+		if p.gather.Decided() {
+			return
+		}
+	}
+}
+
+// arm sets the timer of a call.
+func (d *Dispatcher) arm(p *pending, at time.Time) {
+	if p.timer == nil {
+		p.timer = d.timers.Add(at, func(now time.Time) { d.tick(p, now) })
+		return
+	}
+	d.timers.Move(p.timer, at)
+}
+
+// tick does what is due for a call.
+func (d *Dispatcher) tick(p *pending, now time.Time) {
+	if !p.gather.Decided() {
+		d.perform(p, p.gather.Tick(now), now)
+		return
+	}
+	d.timers.Remove(p.timer)
+	p.timer = nil
+	for _, job := range append([]*exchanger.Job(nil), p.jobs...) {
+		d.pool.Abort(job.Key.(key).send.Replica.ID, job)
+	}
+}
+
+// send hands a send to a connection.
+func (d *Dispatcher) send(p *pending, send gatherer.Send, now time.Time) {
+	job := &exchanger.Job{Call: p.call, Key: key{pending: p, send: send}}
+	job.Request = d.Dialect.Request(nil, p.call, send.Replica, p.gather.Hard.Sub(now))
+	pool := d.world.Catalog.Pools[send.Replica.Pool]
+	limit := max(int(connectionShare*float64(pool.Connections)/float64(max(len(d.world.Peers), 1))), 1)
+	var fresh time.Duration
+	if p.route.Class == wigeonspindle.Once {
+		fresh = freshIdle
+	}
+	p.jobs = append(p.jobs, job)
+	d.Meter.Sent(p.route.Name, send.Kind)
+	if !d.pool.Send(send.Replica, job, limit, fresh) {
+		d.finished(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeOverloaded}, nil)
+	}
+}
+
+// finished takes the result of a job.
+func (d *Dispatcher) finished(job *exchanger.Job, exchange wigeonspindle.Exchange, err error) {
+	k := job.Key.(key)
+	p, now := k.pending, d.Clock.Now()
+	p.remove(job)
+	d.logExchange(p, k.send, exchange, err)
+	decided := p.gather.Decided()
+	step := p.gather.Finished(k.send, exchange, now)
+	if !decided {
+		d.perform(p, step, now)
+		return
+	}
+	if len(p.jobs) == 0 && p.timer != nil {
+		d.timers.Remove(p.timer)
+		p.timer = nil
+	}
+}
+
+// conclude answers a call. Its remaining sends are ended when they overrun.
+func (d *Dispatcher) conclude(p *pending, reply wigeonspindle.CallReply, now time.Time) {
+	p.reply <- reply // The channel has room for the only reply.
+	d.logReply(p, reply, now)
+	if p.gather != nil {
+		d.watch(p, p.gather.Hard.Add(overrun))
+	}
+}
+
+// watch ends the remaining sends of a decided call at a time.
+func (d *Dispatcher) watch(p *pending, at time.Time) {
+	switch {
+	case len(p.jobs) > 0:
+		d.arm(p, at)
+	case p.timer != nil:
+		d.timers.Remove(p.timer)
+		p.timer = nil
+	}
+}
+
+// cancel ends a call whose caller has left.
+func (d *Dispatcher) cancel(p *pending) {
+	if p.left {
+		return
+	}
+	p.left = true
+	if p.gather == nil {
+		return // The call was not started and will not be.
+	}
+	now := d.Clock.Now()
+	if !p.gather.Decided() {
+		p.gather.Cancel()
+		d.Logger.Info("call cancelled", "call", p.call.ID, "route", p.route.Name, "took", now.Sub(p.call.Arrived))
+	}
+	d.watch(p, now.Add(breakDelay))
+}
+
+func (p *pending) remove(job *exchanger.Job) {
+	for i := range p.jobs {
+		if p.jobs[i] == job {
+			p.jobs = append(p.jobs[:i], p.jobs[i+1:]...)
+			return
+		}
+	}
+}
+
+func refusal(code wigeonspindle.Code, verdict wigeonspindle.Verdict, message string, retry time.Duration) wigeonspindle.CallReply {
+	return wigeonspindle.CallReply{
+		Refusal:    &wigeonspindle.Refusal{Code: code, Verdict: verdict, Message: message},
+		RetryAfter: retry,
+	}
+}
--- /dev/null
+++ b/internal/transport/supervisor/supervisor.go
@@ -0,0 +1,200 @@
+// Package supervisor assembles a host on the platform from its duties, starts them and stops
+// them in order.
+package supervisor
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
+	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
+	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
+	"wigeonspindle.example/wigeonspindle/internal/transport/dispatcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+	"wigeonspindle.example/wigeonspindle/internal/transport/watcher"
+)
+
+// Constants of a host.
+const (
+	// returnPeriod is how long after an outage of the registry missing entries are believed
+	// to be on their way back: replicas enter themselves again within about two seconds.
+	returnPeriod = 2200 * time.Millisecond
+	// finishPeriod is the end of the grace period that is left for the last calls.
+	finishPeriod = 800 * time.Millisecond
+	// exitMargin is the time kept between the last answer and the end of the grace period.
+	exitMargin = 200 * time.Millisecond
+	// maxAddresses bounds the hosts that one answer of the directory names.
+	maxAddresses = 64
+	// defaultBody is the largest request body before a configuration is known, in bytes.
+	defaultBody = 256 << 10
+	// readTimeout bounds the arrival of a request with its body.
+	readTimeout = 30 * time.Second
+	// writeTimeout bounds the time from a request's header to the end of its answer; it
+	// exceeds the timeout of any route.
+	writeTimeout = 10 * time.Minute
+	// callerShare is the part of the descriptors that callers may use.
+	callerShare = 0.4
+	// reservedFiles are descriptors that are kept for files.
+	reservedFiles = 200
+	// sideConnections bounds the connections of the listeners that serve no calls.
+	sideConnections = 128
+)
+
+// Supervisor is a host on the platform. It implements wigeonspindle.Directory.
+type Supervisor struct {
+	Settings parser.Gateway
+	Registry wigeonspindle.Registry
+	Dialect  wigeonspindle.Dialect
+	Clock    wigeonspindle.Clock
+	Logger   *log.Logger
+	// Callers, Directory and Readiness make the handlers of the listeners.
+	Callers   func(gateway wigeonspindle.Gateway, host *Supervisor) http.Handler
+	Directory func(directory wigeonspindle.Directory) http.Handler
+	Readiness func(directory wigeonspindle.Directory) http.Handler
+
+	registrar  *registrar.Registrar
+	dispatcher *dispatcher.Dispatcher
+	watcher    *watcher.Watcher
+	announcer  *watcher.Announcer
+	listeners  []*server.Listener // listeners begin with the one for callers.
+	leaving    atomic.Bool
+	turn       atomic.Uint64
+}
+
+// Run starts the duties of the host.
+func (s *Supervisor) Run() error {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	meter := administrator.NewCallMeter()
+	s.registrar = &registrar.Registrar{Return: returnPeriod}
+	s.dispatcher = &dispatcher.Dispatcher{
+		Gatherer: &gatherer.Gatherer{
+			Selector:     &selector.Selector{Domain: s.Settings.Domain, Random: random},
+			Budget:       &budgeter.Budgeter{Ratio: s.Settings.Ratio, Slack: s.Settings.Slack, Window: s.Settings.Window.Value()},
+			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
+		},
+		Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
+	}
+	s.watcher = &watcher.Watcher{
+		Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Changed: s.dispatcher.Update,
+	}
+	s.announcer = &watcher.Announcer{
+		Registry: s.Registry, Logger: s.Logger, Ready: s.Ready,
+		Peer: wigeonspindle.Peer{Name: s.Settings.Name, Caller: s.Settings.Caller, Domain: s.Settings.Domain},
+	}
+	s.turn.Store(random.Uint64())
+	s.dispatcher.Run()
+	if err := s.listen(meter); err != nil {
+		s.dispatcher.Close()
+		return err
+	}
+	s.watcher.Run()
+	s.announcer.Run()
+	s.Logger.Info("host started", "domain", s.Settings.Domain, "caller", s.Settings.Caller)
+	return nil
+}
+
+// listen starts the listeners. After an error none is left open.
+func (s *Supervisor) listen(meter *administrator.CallMeter) error {
+	connections := int(callerShare * float64(s.Settings.Files-reservedFiles))
+	s.listeners = []*server.Listener{
+		{Name: "callers", Address: s.Settings.Caller, Handler: s.Callers(s.dispatcher, s), Connections: max(connections, 16)},
+		{Name: "directory", Address: s.Settings.Directory, Handler: s.Directory(s), Connections: sideConnections},
+		{Name: "readiness", Address: s.Settings.Ready, Handler: s.Readiness(s), Connections: sideConnections},
+		{Name: "metrics", Address: s.Settings.Metrics, Handler: meter.Handler(), Connections: sideConnections},
+	}
+	for i, listener := range s.listeners {
+		listener.Read, listener.Write, listener.Logger = readTimeout, writeTimeout, s.Logger
+		if err := listener.Run(); err != nil {
+			s.listeners = s.listeners[:i]
+			return errors.CombineErrors(err, s.closeListeners(context.Background()))
+		}
+	}
+	return nil
+}
+
+// Close stops the host: callers are sent elsewhere while their connections still serve, and
+// the calls in progress are finished within the grace period.
+func (s *Supervisor) Close() error {
+	ends := s.Clock.Now().Add(s.Settings.Grace.Value() - exitMargin)
+	s.leaving.Store(true)
+	s.Logger.Info("host stopping", "grace", s.Settings.Grace)
+	s.announcer.Close()
+	time.Sleep(ends.Add(-finishPeriod).Sub(s.Clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), ends.Sub(s.Clock.Now()))
+	defer cancel()
+	err := s.closeListeners(ctx)
+	s.watcher.Close()
+	s.dispatcher.Close()
+	s.Logger.Info("host stopped")
+	return err
+}
+
+func (s *Supervisor) closeListeners(ctx context.Context) error {
+	var err error
+	for _, listener := range s.listeners {
+		err = errors.CombineErrors(err, listener.Close(ctx))
+	}
+	return err
+}
+
+// Leaving reports that the host stops soon.
+func (s *Supervisor) Leaving() bool { return s.leaving.Load() }
+
+// Ready implements wigeonspindle.Directory.
+func (s *Supervisor) Ready() bool {
+	return !s.leaving.Load() && s.registrar.World().Catalog != nil
+}
+
+// MaxBody returns the largest size of a request body, in bytes.
+func (s *Supervisor) MaxBody() int64 {
+	if catalog := s.registrar.World().Catalog; catalog != nil && catalog.Limits.Body > 0 {
+		return int64(catalog.Limits.Body)
+	}
+	return defaultBody
+}
+
+// Addresses implements wigeonspindle.Directory. Hosts of the caller's domain come first when
+// not all can be named.
+func (s *Supervisor) Addresses(domain string) []string {
+	var near, far []string
+	self := false
+	for _, peer := range s.registrar.World().Peers {
+		if peer.Name == s.Settings.Name {
+			self = true
+			if s.leaving.Load() {
+				continue
+			}
+		}
+		if peer.Domain == domain {
+			near = append(near, peer.Caller)
+		} else {
+			far = append(far, peer.Caller)
+		}
+	}
+	if !self && s.Ready() {
+		near = append(near, s.Settings.Caller)
+	}
+	turn := s.turn.Add(1)
+	addresses := append(rotate(near, turn), rotate(far, turn)...)
+	return addresses[:min(len(addresses), maxAddresses)]
+}
+
+// rotate returns the list beginning at a place that differs with each turn.
+func rotate(list []string, turn uint64) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	start := int(turn % uint64(len(list)))
+	return append(append(make([]string, 0, len(list)), list[start:]...), list[:start]...)
+}
--- /dev/null
+++ b/registry.go
@@ -0,0 +1,54 @@
+package wigeonspindle
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// ErrCompacted reports that a registry no longer holds the changes that were asked for.
+var ErrCompacted = errors.New("the registry has dropped these changes")
+
+// ErrLapsed reports that a lease has ended.
+var ErrLapsed = errors.New("the lease has ended")
+
+// Registry is the record of the configuration, the replicas and the hosts that the platform
+// keeps. Its methods return an error when the answer is missing; a change whose answer is
+// missing may have been made.
+type Registry interface {
+	// List returns all entries and the revision from which to follow.
+	List(ctx context.Context) ([]Update, uint64, error)
+	// Follow returns the changes after a revision, waiting for the first one at most wait.
+	// It returns ErrCompacted when the changes are no longer held.
+	Follow(ctx context.Context, after uint64, wait time.Duration) ([]Update, uint64, error)
+	// Announce enters a host for as long as the returned lease lives.
+	Announce(ctx context.Context, peer Peer, lease time.Duration) (uint64, error)
+	// Renew prolongs a lease. It returns ErrLapsed when the lease has ended.
+	Renew(ctx context.Context, lease uint64) error
+	// Withdraw ends a lease and removes what was entered with it.
+	Withdraw(ctx context.Context, lease uint64) error
+}
+
+// Dialect translates between calls and the messages of replicas.
+type Dialect interface {
+	// Request appends the bytes of a request that gives the replica a time to answer.
+	Request(buffer []byte, call *Call, replica *Replica, left time.Duration) []byte
+	// Response interprets a whole response.
+	Response(response *http.Response, body []byte) *Response
+}
+
+// Gateway serves calls.
+type Gateway interface {
+	// Handle serves a call and returns its answer. When ctx ends first, the call is
+	// withdrawn and the answer is a refusal.
+	Handle(ctx context.Context, call *Call) CallReply
+}
+
+// Directory tells callers where to connect.
+type Directory interface {
+	// Addresses returns the callers' listeners of the hosts for a caller of a failure domain.
+	Addresses(domain string) []string
+	// Ready reports whether the host serves calls and is not stopping.
+	Ready() bool
+}
--- /dev/null
+++ b/replica.go
@@ -0,0 +1,55 @@
+package wigeonspindle
+
+import "time"
+
+// Replica is one run of a target process. It is immutable once published.
+type Replica struct {
+	ID       string
+	Pool     string
+	Address  string
+	Domain   string
+	Slots    int // Slots is the number of requests that run at a time.
+	Draining bool
+	// WarmAt is when the replica stops being cold, by the clock of this host.
+	WarmAt   time.Time
+	Born     int64 // Born is the start of the process in Unix milliseconds; 0 when unknown.
+	Sequence uint64
+}
+
+// Peer is a host as its own entry in the registry describes it.
+type Peer struct {
+	Name   string `json:"name"`
+	Caller string `json:"caller"` // Caller is the address of the callers' listener.
+	Domain string `json:"domain"`
+}
+
+// World is what a host believes about its deployment. It is immutable once published.
+type World struct {
+	Catalog  *Catalog              // Catalog is nil before the first version arrived.
+	Replicas map[string][]*Replica // Replicas holds the replicas of each pool.
+	Out      map[string]bool       // Out holds the failure domains that receive no new work.
+	Peers    []Peer                // Peers are sorted by name and include the host itself.
+	Seen     time.Time             // Seen is when the registry last answered.
+}
+
+// Subject says what an update is about.
+type Subject uint8
+
+// Subjects of updates.
+const (
+	SubjectOther   Subject = iota // SubjectOther is an entry that concerns no host.
+	SubjectCatalog                // SubjectCatalog is the operators' configuration.
+	SubjectReplica
+	SubjectDomain // SubjectDomain is a failure domain that is out of service.
+	SubjectPeer
+)
+
+// Update is one entry of the registry, or its removal.
+type Update struct {
+	Subject Subject
+	Name    string // Name is the replica's ID or the name of the domain or host.
+	Gone    bool   // Gone reports that the entry was removed.
+	Catalog *Catalog
+	Replica *Replica // Replica is nil in an entry that names no usable replica.
+	Peer    Peer
+}
