gatherer: take back sends that a decided call does not make

Cause: a step could name hedges beside the reply, when both fell due in one tick, and a send without a free connection could decide a call before its other sends were made. The selector had noted them all, no result ever removed them, and after 400 ms their replicas counted as silent for good. Ruled out: the budget (refusals came before any send) and the compaction of the store.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -303,20 +303,35 @@
 
 // settle answers the call if it is decided, and otherwise sets the time of the next tick.
 func (g *Gather) settle(now time.Time, step *Step) {
+	if g.decided {
+		return
+	}
 	open := len(g.parts) - g.done - g.failed
+	enough := g.done >= g.need && (open == 0 || !now.Before(g.Soft))
+	hopeless := g.done+open < g.need
+	if !enough && !hopeless && now.Before(g.Hard) {
+		step.Wake = g.wake(now)
+		return
+	}
+	g.decided = true
+	for _, send := range step.Sends {
+		g.Withdraw(send)
+	}
+	step.Sends = nil
 	switch {
-	case g.done >= g.need && (open == 0 || !now.Before(g.Soft)):
+	case enough:
 		step.Reply = g.answer()
-	case g.done+open < g.need:
+	case hopeless:
 		step.Reply = g.failure()
-	case !now.Before(g.Hard):
+	default:
 		step.Reply = g.refuse(wigeonspindle.CodeExpired, "the deadline has passed")
 	}
-	if step.Reply != nil {
-		g.decided = true
-		return
-	}
-	step.Wake = g.wake(now)
+}
+
+// Withdraw takes back a send that was not made, because the call was decided before.
+func (g *Gather) Withdraw(send Send) {
+	g.parts[send.Part].remove(send.Number)
+	g.gatherer.Selector.Withdraw(send.Replica.ID, send.At)
 }
 
 // wake returns the time of the next decision.
--- /dev/null
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -0,0 +1,277 @@
+package gatherer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+)
+
+// start is the beginning of every test's time.
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// at returns a moment of a test.
+func at(after time.Duration) time.Time { return start.Add(after) }
+
+// harness holds a gatherer over a world of shards with two replicas each.
+type harness struct {
+	*gatherer.Gatherer
+	world *wigeonspindle.World
+	route *wigeonspindle.Route
+}
+
+func newHarness(shards int) *harness {
+	h := &harness{
+		Gatherer: &gatherer.Gatherer{
+			Selector:     &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(1, 2))},
+			Budget:       &budgeter.Budgeter{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
+		},
+		world: &wigeonspindle.World{
+			Catalog:  &wigeonspindle.Catalog{Version: 1, Pools: make(map[string]wigeonspindle.Pool)},
+			Replicas: make(map[string][]*wigeonspindle.Replica), Peers: make([]wigeonspindle.Peer, 1),
+		},
+		route: &wigeonspindle.Route{
+			Name: "search", Class: wigeonspindle.Idempotent, Timeout: time.Second, Aim: 100 * time.Millisecond,
+			Attempts: 2, Top: 3, Coverage: 0.75,
+		},
+	}
+	for i := range shards {
+		pool := fmt.Sprintf("shard-%d", i)
+		h.route.Shards = append(h.route.Shards, pool)
+		h.world.Catalog.Pools[pool] = wigeonspindle.Pool{Name: pool, Connections: 50}
+		for j, domain := range []string{"a", "b"} {
+			h.world.Replicas[pool] = append(h.world.Replicas[pool], &wigeonspindle.Replica{
+				ID: fmt.Sprintf("%s-%d", pool, j), Pool: pool, Domain: domain, Slots: 2,
+			})
+		}
+	}
+	return h
+}
+
+func (h *harness) call(after time.Duration) (*gatherer.Gather, gatherer.Step) {
+	call := &wigeonspindle.Call{ID: "c", Arrived: at(after), Patience: time.Second}
+	return h.Start(call, h.route, h.world, at(after))
+}
+
+// part returns a replica's success.
+func part(seal string, took time.Duration) wigeonspindle.Exchange {
+	return wigeonspindle.Exchange{
+		Verdict: wigeonspindle.Ran, Sent: true, Took: took,
+		Response: &wigeonspindle.Response{Status: 200, Seal: seal, Body: []byte("0123456789abcdef")},
+	}
+}
+
+var (
+	refused = wigeonspindle.Exchange{
+		Verdict: wigeonspindle.NotRun, Sent: true, Response: &wigeonspindle.Response{Status: 503, Refused: true},
+	}
+	broken = wigeonspindle.Exchange{Verdict: wigeonspindle.MayHaveRun, Code: wigeonspindle.CodeBroken, Sent: true}
+	unsent = wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}
+	failed = wigeonspindle.Exchange{
+		Verdict: wigeonspindle.Ran, Sent: true, Response: &wigeonspindle.Response{Status: 500, Seal: "f"},
+	}
+)
+
+// TestWhole guards against an answer that is sent before all parts are in, or that claims
+// another coverage than it has.
+func TestWhole(t *testing.T) {
+	h := newHarness(4)
+	gather, step := h.call(0)
+	if got, want := len(step.Sends), 4; got != want {
+		t.Fatalf("sends: got %d, want %d", got, want)
+	}
+	for i, send := range step.Sends {
+		next := gather.Finished(send, part(fmt.Sprint(i), 5*time.Millisecond), at(5*time.Millisecond))
+		if got, want := next.Reply != nil, i == 3; got != want {
+			t.Fatalf("reply after part %d: got %v, want %v", i, got, want)
+		}
+		if i == 3 {
+			if got, want := next.Reply.Merged.Missing, 0; got != want {
+				t.Errorf("missing: got %d, want %d", got, want)
+			}
+		}
+	}
+}
+
+// TestSoft guards against a caller who waits past the objective for a part that is late
+// although the parts that are in suffice, and against an answer below the least coverage.
+func TestSoft(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		in      int
+		reply   bool
+		missing int
+	}{
+		{name: "enough parts", in: 3, reply: true, missing: 1},
+		{name: "too few parts", in: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(4)
+			gather, step := h.call(0)
+			for _, send := range step.Sends[:test.in] {
+				gather.Finished(send, part(send.Replica.ID, 5*time.Millisecond), at(5*time.Millisecond))
+			}
+			got := gather.Tick(gather.Soft)
+			if (got.Reply != nil) != test.reply {
+				t.Fatalf("reply: got %v, want %v", got.Reply != nil, test.reply)
+			}
+			if test.reply && got.Reply.Merged.Missing != test.missing {
+				t.Errorf("missing: got %d, want %d", got.Reply.Merged.Missing, test.missing)
+			}
+		})
+	}
+}
+
+// TestDecidedSends guards against sends that a step names beside the reply. They are never
+// made, so that their replicas would count as silent from then on.
+func TestDecidedSends(t *testing.T) {
+	h := newHarness(4)
+	gather, step := h.call(0)
+	for _, send := range step.Sends[:3] {
+		gather.Finished(send, part(send.Replica.ID, 5*time.Millisecond), at(5*time.Millisecond))
+	}
+	late := gather.Tick(gather.Soft) // The hedge of the last part and the reply are due at once.
+	if got, want := len(late.Sends), 0; late.Reply == nil || got != want {
+		t.Fatalf("step: got reply %v with %d sends, want a reply with %d", late.Reply != nil, got, want)
+	}
+	gather.Finished(step.Sends[3], broken, at(200*time.Millisecond))
+	for i, replica := range h.world.Replicas["shard-3"] {
+		other := h.world.Replicas["shard-3"][1-i]
+		if _, ok := h.Selector.Pick(h.world, "shard-3", []string{other.ID}, 5*time.Millisecond, at(10*time.Second)); !ok {
+			t.Errorf("replica %s after 10 s: got unusable, want usable", replica.ID)
+		}
+	}
+}
+
+// TestRepeat guards against a request that runs more often than it may, and against a
+// failure that another replica would have mended.
+func TestRepeat(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		class    wigeonspindle.Class
+		exchange wigeonspindle.Exchange
+		again    bool
+		verdict  wigeonspindle.Verdict // verdict is that of the refusal when there is no second send.
+	}{
+		{name: "idempotent refused", class: wigeonspindle.Idempotent, exchange: refused, again: true},
+		{name: "idempotent broken", class: wigeonspindle.Idempotent, exchange: broken, again: true},
+		{name: "idempotent failed", class: wigeonspindle.Idempotent, exchange: failed, again: true},
+		{name: "once refused", class: wigeonspindle.Once, exchange: refused, again: true},
+		{name: "once unsent", class: wigeonspindle.Once, exchange: unsent, again: true},
+		{name: "once broken", class: wigeonspindle.Once, exchange: broken, verdict: wigeonspindle.MayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(1)
+			h.route.Class, h.route.Shards = test.class, nil
+			h.route.Split = []wigeonspindle.Share{{Pool: "shard-0", Weight: 1}}
+			gather, step := h.call(0)
+			next := gather.Finished(step.Sends[0], test.exchange, at(10*time.Millisecond))
+			if got, want := len(next.Sends) == 1, test.again; got != want {
+				t.Fatalf("second send: got %v, want %v", got, want)
+			}
+			if test.again {
+				if got := next.Sends[0].Replica.ID; got == step.Sends[0].Replica.ID {
+					t.Errorf("second replica: got %s again, want another", got)
+				}
+				return
+			}
+			if next.Reply == nil || next.Reply.Refusal == nil {
+				t.Fatalf("reply: got %+v, want a refusal", next.Reply)
+			}
+			if got, want := next.Reply.Refusal.Verdict, test.verdict; got != want {
+				t.Errorf("verdict: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// TestAttempts guards against a call that runs on more replicas than its route allows.
+func TestAttempts(t *testing.T) {
+	h := newHarness(1)
+	h.world.Replicas["shard-0"] = append(h.world.Replicas["shard-0"], &wigeonspindle.Replica{ID: "third", Pool: "shard-0", Domain: "a", Slots: 2})
+	gather, step := h.call(0)
+	next := gather.Finished(step.Sends[0], broken, at(time.Millisecond))
+	if got, want := len(next.Sends), 1; got != want {
+		t.Fatalf("sends after the first failure: got %d, want %d", got, want)
+	}
+	last := gather.Finished(next.Sends[0], broken, at(2*time.Millisecond))
+	if got, want := len(last.Sends), 0; got != want {
+		t.Errorf("sends after the second failure: got %d, want %d", got, want)
+	}
+	if last.Reply == nil {
+		t.Error("reply: got none, want a refusal at once")
+	}
+}
+
+// TestHedge guards against a part that waits for a paused replica although another one is
+// free, and against a second run of a call that may run once.
+func TestHedge(t *testing.T) {
+	for _, test := range []struct {
+		class wigeonspindle.Class
+		want  int
+	}{{wigeonspindle.Idempotent, 1}, {wigeonspindle.Once, 0}} {
+		t.Run(string(test.class), func(t *testing.T) {
+			h := newHarness(1)
+			h.route.Class = test.class
+			gather, step := h.call(0)
+			if got, want := step.Wake.Before(gather.Soft), test.want == 1; got != want {
+				t.Errorf("wake before the soft deadline: got %v, want %v", got, want)
+			}
+			if got := len(gather.Tick(step.Wake).Sends); got != test.want && test.want == 1 {
+				t.Errorf("hedges: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestUnservable guards against a caller who waits for a call that cannot succeed.
+func TestUnservable(t *testing.T) {
+	h := newHarness(4)
+	h.world.Out = map[string]bool{"a": true, "b": true}
+	gather, step := h.call(0)
+	if step.Reply == nil || step.Reply.Refusal == nil || !gather.Decided() {
+		t.Fatalf("reply: got %+v, want a refusal at once", step.Reply)
+	}
+	if got, want := step.Reply.Refusal.Verdict, wigeonspindle.NotRun; got != want {
+		t.Errorf("verdict: got %v, want %v", got, want)
+	}
+	if step.Reply.RetryAfter <= 0 {
+		t.Errorf("retry after: got %v, want a time", step.Reply.RetryAfter)
+	}
+}
+
+// TestDeadline guards against a call without an answer at the timeout of its route.
+func TestDeadline(t *testing.T) {
+	h := newHarness(4)
+	gather, _ := h.call(0)
+	if got := gather.Tick(gather.Hard); got.Reply == nil || got.Reply.Refusal == nil || got.Reply.Refusal.Verdict == wigeonspindle.NotRun {
+		t.Errorf("reply: got %+v, want a refusal that admits a run", got.Reply)
+	}
+	if got, latest := gather.Hard, at(time.Second); got.After(latest) {
+		t.Errorf("end: got %v, want at most %v", got, latest)
+	}
+}
+
+// TestSplit guards against parts of a route that get another share than their weight.
+func TestSplit(t *testing.T) {
+	h := newHarness(2)
+	h.route.Shards = nil
+	h.route.Split = []wigeonspindle.Share{{Pool: "shard-0", Weight: 3}, {Pool: "shard-1", Weight: 1}}
+	counts := make(map[string]int)
+	for i := range 400 {
+		now := time.Duration(i) * time.Second
+		gather, step := h.call(now)
+		counts[step.Sends[0].Replica.Pool]++
+		gather.Finished(step.Sends[0], part("s", time.Millisecond), at(now))
+	}
+	if got, want := counts["shard-0"], 300; got < want-2 || got > want+2 {
+		t.Errorf("calls of the heavier pool: got %d, want %d", got, want)
+	}
+}
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -137,8 +137,12 @@
 	}
 }
 
-// Unreachable notes that no connection to a replica could be opened.
-func (s *Selector) Unreachable(id string, now time.Time) { s.standing(id, now).block(now) }
+// Withdraw takes back a send that was noted and not made.
+func (s *Selector) Withdraw(id string, sent time.Time) {
+	if standing, ok := s.standings[id]; ok {
+		standing.remove(sent)
+	}
+}
 
 // Keep drops what is known about replicas that the world no longer holds.
 func (s *Selector) Keep(world *wigeonspindle.World) {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -231,15 +231,14 @@
 		d.conclude(p, *step.Reply, now)
 		return
 	}
-	if p.gather.Decided() {
-		return
-	}
 	d.arm(p, step.Wake)
 	for _, send := range step.Sends {
-		d.send(p, send, now)
+		// The result of a send that finds no connection comes at once and may decide the call.
 		if p.gather.Decided() {
-			return
+			p.gather.Withdraw(send)
+			continue
 		}
+		d.send(p, send, now)
 	}
 }
 
