--- /dev/null
+++ b/internal/coordination/budgeter/budgeter_test.go
@@ -0,0 +1,83 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// TestTake guards against hosts that together repeat more than the operators allow.
+func TestTake(t *testing.T) {
+	const hosts, calls = 12, 900
+	total := 0
+	for range hosts {
+		b := &budgeter.Budgeter{Ratio: 0.2, Slack: 104, Window: 10 * time.Second}
+		for i := range calls / hosts {
+			b.Call("pool", start.Add(time.Duration(i)*time.Millisecond))
+		}
+		for b.Take("pool", hosts, start.Add(time.Second)) {
+			total++
+		}
+	}
+	if got, limit := total, int(0.2*calls+104); got > limit || got < limit/2 {
+		t.Errorf("repeated sends of %d hosts: got %d, want between half of %d and that", hosts, got, limit)
+	}
+}
+
+// TestWindow guards against a budget that is not given back when the window has passed.
+func TestWindow(t *testing.T) {
+	b := &budgeter.Budgeter{Slack: 10, Window: 10 * time.Second}
+	for b.Take("pool", 1, start) {
+		continue
+	}
+	if b.Take("pool", 1, start.Add(9*time.Second)) {
+		t.Error("send within the window: got one more, want none")
+	}
+	if !b.Take("pool", 1, start.Add(10500*time.Millisecond)) {
+		t.Error("send after the window: got none, want one")
+	}
+	if got := b.Fill("pool", 1, start.Add(time.Hour)); got != 0 {
+		t.Errorf("fill after an hour: got %v, want 0", got)
+	}
+}
+
+// TestSliding guards against any window in which more sends are repeated than allowed.
+func TestSliding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &budgeter.Budgeter{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+		var calls, extras []time.Time
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "call") {
+				b.Call("pool", now)
+				calls = append(calls, now)
+			}
+			if b.Take("pool", 1, now) {
+				extras = append(extras, now)
+			}
+		}
+		for _, end := range extras {
+			// A request counts in its window and in the one before it.
+			got := count(extras, end.Add(-9500*time.Millisecond), end)
+			if limit := 0.2*float64(count(calls, end.Add(-20*time.Second), end)) + 20; float64(got) > limit {
+				t.Fatalf("repeated sends in the window before %v: got %d, want at most %v", end, got, limit)
+			}
+		}
+	})
+}
+
+func count(times []time.Time, after, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(after) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/selector/selector_test.go
@@ -0,0 +1,169 @@
+package selector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+const expected = 10 * time.Millisecond
+
+func at(after time.Duration) time.Time { return start.Add(after) }
+
+// world returns two replicas of one pool in the host's failure domain.
+func world() *wigeonspindle.World {
+	return &wigeonspindle.World{
+		Catalog: &wigeonspindle.Catalog{Pools: map[string]wigeonspindle.Pool{"pool": {Name: "pool", WarmupRate: 6}}},
+		Replicas: map[string][]*wigeonspindle.Replica{"pool": {
+			{ID: "one", Pool: "pool", Domain: "a", Slots: 2}, {ID: "two", Pool: "pool", Domain: "a", Slots: 2},
+		}},
+		Peers: make([]wigeonspindle.Peer, 3),
+	}
+}
+
+func newSelector() *selector.Selector {
+	return &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(1, 2))}
+}
+
+// picks counts how often each replica is chosen at a moment.
+func picks(s *selector.Selector, w *wigeonspindle.World, now time.Time) map[string]int {
+	counts := make(map[string]int)
+	for range 200 {
+		if replica, ok := s.Pick(w, "pool", nil, expected, now); ok {
+			counts[replica.ID]++
+		}
+	}
+	return counts
+}
+
+func answered(took time.Duration) wigeonspindle.Exchange {
+	return wigeonspindle.Exchange{Verdict: wigeonspindle.Ran, Took: took, Response: &wigeonspindle.Response{Status: 200, Seal: "s"}}
+}
+
+// observe sends to a replica and finishes the send.
+func observe(s *selector.Selector, w *wigeonspindle.World, index int, exchange wigeonspindle.Exchange, now time.Time) {
+	replica := w.Replicas["pool"][index]
+	s.Sent(w, replica, now)
+	s.Finished(replica.ID, now, expected, exchange, now.Add(exchange.Took))
+}
+
+// TestAvoid guards against calls that go to a replica that is known to be worse.
+func TestAvoid(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		spoil func(s *selector.Selector, w *wigeonspindle.World)
+	}{
+		{"slow", func(s *selector.Selector, w *wigeonspindle.World) {
+			for i := range 3 {
+				observe(s, w, 0, answered(8*expected), at(time.Duration(i)*time.Millisecond))
+			}
+		}},
+		{"refusing", func(s *selector.Selector, w *wigeonspindle.World) {
+			observe(s, w, 0, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Response: &wigeonspindle.Response{Status: 503, Refused: true}}, at(0))
+		}},
+		{"unreachable", func(s *selector.Selector, w *wigeonspindle.World) {
+			observe(s, w, 0, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}, at(0))
+		}},
+		{"without an answer", func(s *selector.Selector, w *wigeonspindle.World) {
+			s.Sent(w, w.Replicas["pool"][0], at(-5*expected))
+		}},
+		{"loaded", func(s *selector.Selector, w *wigeonspindle.World) {
+			exchange := answered(expected)
+			exchange.Response.Load = wigeonspindle.TargetLoad{Known: true, Running: 2, Waiting: 4, Slots: 2}
+			observe(s, w, 0, exchange, at(0))
+		}},
+		{"draining", func(_ *selector.Selector, w *wigeonspindle.World) { w.Replicas["pool"][0].Draining = true }},
+		{"cold", func(_ *selector.Selector, w *wigeonspindle.World) { w.Replicas["pool"][0].WarmAt = at(time.Minute) }},
+		{"domain out", func(_ *selector.Selector, w *wigeonspindle.World) {
+			w.Replicas["pool"][0].Domain = "b"
+			w.Out = map[string]bool{"b": true}
+		}},
+		{"other domain", func(_ *selector.Selector, w *wigeonspindle.World) { w.Replicas["pool"][0].Domain = "b" }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, w := newSelector(), world()
+			test.spoil(s, w)
+			counts := picks(s, w, at(20*time.Millisecond))
+			if got, most := counts["one"], 40; got > most {
+				t.Errorf("picks of the worse replica: got %d of 200, want at most %d", got, most)
+			}
+			if counts["two"] == 0 {
+				t.Error("picks of the better replica: got none")
+			}
+		})
+	}
+}
+
+// TestRecover guards against a replica that is avoided for good after it was slow.
+func TestRecover(t *testing.T) {
+	s, w := newSelector(), world()
+	for i := range 5 {
+		observe(s, w, 0, answered(8*expected), at(time.Duration(i)*time.Millisecond))
+	}
+	if got := picks(s, w, at(15*time.Second))["one"]; got < 50 {
+		t.Errorf("picks 15 s after the replica was slow: got %d of 200, want at least 50", got)
+	}
+}
+
+// TestSilent guards against calls that all wait for a replica that does not answer, and
+// against a replica that stays out after its send has ended.
+func TestSilent(t *testing.T) {
+	s, w := newSelector(), world()
+	w.Out = map[string]bool{"b": true}
+	w.Replicas["pool"][1].Domain = "b"
+	s.Sent(w, w.Replicas["pool"][0], at(0))
+	if !s.Usable(w, "pool", expected, at(100*time.Millisecond)) {
+		t.Error("replica that pauses for 100 ms: got unusable, want usable")
+	}
+	if s.Usable(w, "pool", expected, at(600*time.Millisecond)) {
+		t.Error("replica without an answer for 600 ms: got usable, want unusable")
+	}
+	s.Finished("one", at(0), expected, answered(expected), at(700*time.Millisecond))
+	if !s.Usable(w, "pool", expected, at(700*time.Millisecond)) {
+		t.Error("replica that answered: got unusable, want usable")
+	}
+}
+
+// TestCold guards against hosts that together send a cold replica more than it bears.
+func TestCold(t *testing.T) {
+	w := world()
+	w.Replicas["pool"] = w.Replicas["pool"][:1]
+	w.Replicas["pool"][0].WarmAt = at(time.Minute)
+	const seconds = 10
+	total := 0
+	for host := range len(w.Peers) {
+		s := &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(uint64(host), 2))}
+		for i := range seconds * 100 {
+			now := at(time.Duration(i) * 10 * time.Millisecond)
+			if replica, ok := s.Pick(w, "pool", nil, expected, now); ok {
+				s.Sent(w, replica, now)
+				s.Finished(replica.ID, now, expected, answered(expected), now)
+				total++
+			}
+		}
+	}
+	if got, rate := float64(total)/seconds, 6.0; got > rate*1.1 || got < rate/2 {
+		t.Errorf("calls a second: got %v, want about %v", got, rate)
+	}
+}
+
+// TestKeep guards against memory that grows with every replica that ever was.
+func TestKeep(t *testing.T) {
+	s, w := newSelector(), world()
+	observe(s, w, 0, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}, at(0))
+	s.Keep(&wigeonspindle.World{})
+	if got := picks(s, w, at(time.Millisecond))["one"]; got == 0 {
+		t.Error("picks of a replica that was forgotten and returned: got none, want some")
+	}
+	for i := range 3 { // A send in flight keeps its replica.
+		s.Sent(w, &wigeonspindle.Replica{ID: fmt.Sprint(i), Pool: "pool"}, at(0))
+	}
+	s.Keep(&wigeonspindle.World{})
+	s.Withdraw("0", at(0))
+}
--- /dev/null
+++ b/internal/state/registrar/registrar_test.go
@@ -0,0 +1,138 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func at(after time.Duration) time.Time { return start.Add(after) }
+
+func replica(id string, born int64, sequence uint64) wigeonspindle.Update {
+	return wigeonspindle.Update{Subject: wigeonspindle.SubjectReplica, Name: id, Replica: &wigeonspindle.Replica{
+		ID: id, Pool: "pool", Born: born, Sequence: sequence,
+	}}
+}
+
+func gone(subject wigeonspindle.Subject, name string) wigeonspindle.Update {
+	return wigeonspindle.Update{Subject: subject, Name: name, Gone: true}
+}
+
+func peer(name string) wigeonspindle.Update {
+	return wigeonspindle.Update{Subject: wigeonspindle.SubjectPeer, Name: name, Peer: wigeonspindle.Peer{Name: name}}
+}
+
+func catalog(version uint64) wigeonspindle.Update {
+	return wigeonspindle.Update{Subject: wigeonspindle.SubjectCatalog, Catalog: &wigeonspindle.Catalog{Version: version}}
+}
+
+// TestVersions guards against a configuration that goes back, however it arrives.
+func TestVersions(t *testing.T) {
+	r := &registrar.Registrar{}
+	for _, step := range []struct{ offered, want uint64 }{{3, 3}, {2, 3}, {7, 7}, {7, 7}, {1, 7}} {
+		r.Apply([]wigeonspindle.Update{catalog(step.offered)}, at(0))
+		if got := r.World().Catalog.Version; got != step.want {
+			t.Errorf("version after %d: got %d, want %d", step.offered, got, step.want)
+		}
+	}
+	r.Replace([]wigeonspindle.Update{catalog(4)}, at(0))
+	r.Apply([]wigeonspindle.Update{gone(wigeonspindle.SubjectCatalog, "")}, at(0))
+	if got, want := r.World().Catalog.Version, uint64(7); got != want {
+		t.Errorf("version after an older list and a removal: got %d, want %d", got, want)
+	}
+}
+
+// TestGone guards against new work for a replica whose entry was removed, and against a
+// deployment that loses its replicas because the registry was away.
+func TestGone(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		outage bool
+		back   bool // back has the replica enter itself again.
+		wants  map[time.Duration]int
+	}{
+		{name: "without an outage", wants: map[time.Duration]int{0: 0}},
+		{name: "after an outage", outage: true, wants: map[time.Duration]int{0: 1, time.Second: 1, 3 * time.Second: 0}},
+		{name: "back after an outage", outage: true, back: true, wants: map[time.Duration]int{time.Second: 1, 3 * time.Second: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := &registrar.Registrar{Return: 2 * time.Second}
+			r.Replace([]wigeonspindle.Update{replica("a", 1, 1), peer("h")}, at(0))
+			if test.outage && !r.Lost() {
+				t.Fatal("first loss: got false, want true")
+			}
+			r.Apply([]wigeonspindle.Update{gone(wigeonspindle.SubjectReplica, "a"), gone(wigeonspindle.SubjectPeer, "h")}, at(0))
+			for _, after := range []time.Duration{0, time.Second, 3 * time.Second} {
+				var updates []wigeonspindle.Update
+				if test.back && after == time.Second {
+					updates = append(updates, replica("a", 1, 2), peer("h"))
+				}
+				world := r.Apply(updates, at(after))
+				want, ok := test.wants[after]
+				if !ok {
+					continue
+				}
+				if got := len(world.Replicas["pool"]); got != want {
+					t.Errorf("replicas after %v: got %d, want %d", after, got, want)
+				}
+				if got := len(world.Peers); got != want {
+					t.Errorf("hosts after %v: got %d, want %d", after, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestReplace guards against entries that stay although a full list no longer has them.
+func TestReplace(t *testing.T) {
+	r := &registrar.Registrar{Return: 2 * time.Second}
+	out := wigeonspindle.Update{Subject: wigeonspindle.SubjectDomain, Name: "a"}
+	r.Replace([]wigeonspindle.Update{replica("a", 1, 1), peer("h"), out}, at(0))
+	if !r.World().Out["a"] {
+		t.Fatal("domain: got in service, want out")
+	}
+	world := r.Replace([]wigeonspindle.Update{replica("b", 1, 1)}, at(time.Second))
+	if got, want := len(world.Replicas["pool"]), 1; got != want || world.Replicas["pool"][0].ID != "b" {
+		t.Errorf("replicas: got %v, want only b", world.Replicas["pool"])
+	}
+	if len(world.Peers) != 0 || world.Out["a"] {
+		t.Errorf("hosts and domains: got %v and %v, want none", world.Peers, world.Out)
+	}
+}
+
+// TestStale guards against an old report that hides a newer one, and against a new run that
+// is taken for an old report.
+func TestStale(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		next wigeonspindle.Update
+		want uint64
+	}{
+		{"newer report", replica("a", 5, 9), 9},
+		{"older report", replica("a", 5, 7), 8},
+		{"new run", replica("a", 6, 1), 1},
+		{"earlier run", replica("a", 4, 99), 8},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := &registrar.Registrar{}
+			world := r.Apply([]wigeonspindle.Update{replica("a", 5, 8), test.next}, at(0))
+			if got := world.Replicas["pool"][0].Sequence; got != test.want {
+				t.Errorf("sequence: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestForeign guards against an entry of another writer that names a replica to use.
+func TestForeign(t *testing.T) {
+	r := &registrar.Registrar{}
+	r.Apply([]wigeonspindle.Update{replica("a", 1, 1), replica("b", 1, 1)}, at(0))
+	world := r.Apply([]wigeonspindle.Update{{Subject: wigeonspindle.SubjectReplica, Name: "a"}}, at(0))
+	if got, want := len(world.Replicas["pool"]), 1; got != want {
+		t.Errorf("replicas: got %d, want %d", got, want)
+	}
+}
