balancer: send callers to the strong hosts while enough of them live

Cause: the grown co-operative has 8 hosts of 0.8 cores and 99 of 0.134. Ruled out: fewer sends (hedges were the consequence). Hosts publish their capacity; callers are named those with at least half of the largest, six at least; the others stand by without open connections.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -241,7 +241,7 @@
 	expected := g.expected(now)
 	replica, ok := g.gatherer.Selector.Pick(g.World, p.pool, p.tried, expected, now)
 	if ok && p.sends > 0 && (p.arrivals > 0 || len(p.inflight) > 0) {
-		ok = p.sends < maxSends && g.gatherer.Budget.Take(p.pool, len(g.World.Peers), now)
+		ok = p.sends < maxSends && g.gatherer.Budget.Take(p.pool, len(g.World.Serving), now)
 	}
 	if !ok {
 		if kind == wigeonspindle.SendHedge {
@@ -357,7 +357,7 @@
 		p.runs+1 >= g.Route.Attempts {
 		return time.Time{}
 	}
-	if g.gatherer.Budget.Fill(p.pool, len(g.World.Peers), now) >= hedgeFill {
+	if g.gatherer.Budget.Fill(p.pool, len(g.World.Serving), now) >= hedgeFill {
 		return time.Time{}
 	}
 	delay := max(time.Duration(hedgeFactor*float64(g.expected(now))), hedgeFloor)
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -35,7 +35,7 @@
 		},
 		world: &wigeonspindle.World{
 			Catalog:  &wigeonspindle.Catalog{Version: 1, Pools: make(map[string]wigeonspindle.Pool)},
-			Replicas: make(map[string][]*wigeonspindle.Replica), Peers: make([]wigeonspindle.Peer, 1),
+			Replicas: make(map[string][]*wigeonspindle.Replica), Serving: make([]wigeonspindle.Peer, 1),
 		},
 		route: &wigeonspindle.Route{
 			Name: "search", Class: wigeonspindle.Idempotent, Timeout: time.Second, Aim: 100 * time.Millisecond,
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -189,7 +189,7 @@
 	if !now.Before(replica.WarmAt) {
 		return true
 	}
-	rate := world.Catalog.Pools[replica.Pool].WarmupRate / float64(max(len(world.Peers), 1))
+	rate := world.Catalog.Pools[replica.Pool].WarmupRate / float64(max(len(world.Serving), 1))
 	if rate <= 0 {
 		return true
 	}
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -23,7 +23,7 @@
 		Replicas: map[string][]*wigeonspindle.Replica{"pool": {
 			{ID: "one", Pool: "pool", Domain: "a", Slots: 2}, {ID: "two", Pool: "pool", Domain: "a", Slots: 2},
 		}},
-		Peers: make([]wigeonspindle.Peer, 3),
+		Serving: make([]wigeonspindle.Peer, 3),
 	}
 }
 
@@ -137,7 +137,7 @@
 	w.Replicas["pool"][0].WarmAt = at(time.Minute)
 	const seconds = 10
 	total := 0
-	for host := range len(w.Peers) {
+	for host := range len(w.Serving) {
 		s := &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(uint64(host), 2))}
 		for i := range seconds * 100 {
 			now := at(time.Duration(i) * 10 * time.Millisecond)
--- a/internal/protocol/parser/gateway.go
+++ b/internal/protocol/parser/gateway.go
@@ -27,6 +27,9 @@
 	Ratio  float64                `json:"ratio" validate:"min=0,max=10"`
 	Slack  float64                `json:"slack" validate:"min=0,max=1000000"`
 	Window wigeonspindle.Duration `json:"window" validate:"min=1000000000,max=3600000000000"`
+	// Share and Cores are the part of a core that the process may use, and the number of cores.
+	Share float64 `json:"share" validate:"gt=0,max=1"`
+	Cores float64 `json:"cores" validate:"gt=0,max=1024"`
 	// Memory is the memory limit of the process in megabytes.
 	Memory int `json:"memory" validate:"min=16,max=1048576"`
 	// Files is the limit of open descriptors.
@@ -35,6 +38,9 @@
 	Level string `json:"level" validate:"oneof=debug info warn error"`
 }
 
+// Capacity returns the processor that the process may use, in cores.
+func (g Gateway) Capacity() float64 { return g.Share * g.Cores }
+
 // LoadGateway reads and checks the settings file of a host on the platform.
 func LoadGateway(path string) (Gateway, error) {
 	data, err := os.ReadFile(path)
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -18,6 +18,8 @@
 type Registrar struct {
 	// Return is how long after the end of an outage entries may be missing.
 	Return time.Duration
+	// Serving chooses the hosts to which callers are sent; nil chooses all.
+	Serving func(peers []wigeonspindle.Peer) []wigeonspindle.Peer
 
 	world    atomic.Pointer[wigeonspindle.World]
 	mutex    sync.Mutex // mutex guards the fields below.
@@ -194,6 +196,10 @@
 		world.Peers = append(world.Peers, entry.peer)
 	}
 	slices.SortFunc(world.Peers, func(a, b wigeonspindle.Peer) int { return strings.Compare(a.Name, b.Name) })
+	world.Serving = world.Peers
+	if r.Serving != nil {
+		world.Serving = r.Serving(world.Peers)
+	}
 	r.world.Store(world)
 	return world
 }
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// connectionShare is the part of a replica's connections that all hosts together use;
 	// the rest is for hosts that stop and start.
 	connectionShare = 0.8
+	// standbyConnections is the number of connections that a host to which no callers are
+	// sent may have to one replica.
+	standbyConnections = 1
 	// freshIdle is the longest idle time of a connection that carries a call that must not
 	// run twice: a connection that ends under such a call loses it.
 	freshIdle = time.Second
@@ -44,23 +48,24 @@
 
 // Dispatcher implements wigeonspindle.Gateway.
 type Dispatcher struct {
+	Host     string // Host is the name of this host.
 	Gatherer *gatherer.Gatherer
 	Dialect  wigeonspindle.Dialect
 	Clock    wigeonspindle.Clock
 	Meter    wigeonspindle.CallMeter
 	Logger   *log.Logger
 
-	calls     *queuer.Ring[*pending]
-	cancels   *queuer.Ring[*pending]
-	worlds    *queuer.Ring[*wigeonspindle.World]
-	events    *queuer.Ring[exchanger.Event]
-	pool      *exchanger.Pool
-	timers    scheduler.Timers
-	world     *wigeonspindle.World
-	matcher   *matcher.Matcher
-	connected *wigeonspindle.Catalog // connected is the catalog whose pools have connections.
-	stop      chan struct{}
-	done      sync.WaitGroup
+	calls   *queuer.Ring[*pending]
+	cancels *queuer.Ring[*pending]
+	worlds  *queuer.Ring[*wigeonspindle.World]
+	events  *queuer.Ring[exchanger.Event]
+	pool    *exchanger.Pool
+	timers  scheduler.Timers
+	world   *wigeonspindle.World
+	matcher *matcher.Matcher
+	serving bool // serving reports that callers are sent to this host.
+	stop    chan struct{}
+	done    sync.WaitGroup
 }
 
 // pending is one call.
@@ -159,6 +164,7 @@
 		d.matcher = matcher.New(world.Catalog)
 	}
 	d.world = world
+	d.serving = slices.ContainsFunc(world.Serving, func(peer wigeonspindle.Peer) bool { return peer.Name == d.Host })
 	d.Gatherer.Keep(world)
 	known := make(map[string]bool)
 	for _, replicas := range world.Replicas {
@@ -167,15 +173,14 @@
 		}
 	}
 	d.pool.Keep(func(id string) bool { return known[id] })
-	d.prepare(world)
+	if d.serving && world.Catalog != nil {
+		d.prepare(world)
+	}
 }
 
 // prepare opens a connection to each replica that routes name, so that calls need not wait
 // for one.
 func (d *Dispatcher) prepare(world *wigeonspindle.World) {
-	if world.Catalog == nil {
-		return
-	}
 	used := make(map[string]bool)
 	for i := range world.Catalog.Routes {
 		route := &world.Catalog.Routes[i]
@@ -268,19 +273,26 @@
 func (d *Dispatcher) send(p *pending, send gatherer.Send, now time.Time) {
 	job := &exchanger.Job{Call: p.call, Key: key{pending: p, send: send}}
 	job.Request = d.Dialect.Request(nil, p.call, send.Replica, p.gather.Hard.Sub(now))
-	pool := d.world.Catalog.Pools[send.Replica.Pool]
-	limit := max(int(connectionShare*float64(pool.Connections)/float64(max(len(d.world.Peers), 1))), 1)
 	var fresh time.Duration
 	if p.route.Class == wigeonspindle.Once {
 		fresh = freshIdle
 	}
 	p.jobs = append(p.jobs, job)
 	d.Meter.Sent(p.route.Name, send.Kind)
-	if !d.pool.Send(send.Replica, job, limit, fresh) {
+	if !d.pool.Send(send.Replica, job, d.limit(send.Replica), fresh) {
 		d.finished(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeOverloaded}, nil)
 	}
 }
 
+// limit returns the number of connections that the host may have to a replica.
+func (d *Dispatcher) limit(replica *wigeonspindle.Replica) int {
+	if !d.serving {
+		return standbyConnections
+	}
+	pool := d.world.Catalog.Pools[replica.Pool]
+	return max(int(connectionShare*float64(pool.Connections)/float64(max(len(d.world.Serving), 1))), 1)
+}
+
 // finished takes the result of a job.
 func (d *Dispatcher) finished(job *exchanger.Job, exchange wigeonspindle.Exchange, err error) {
 	k := job.Key.(key)
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
@@ -76,21 +77,23 @@
 func (s *Supervisor) Run() error {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	meter := administrator.NewCallMeter()
-	s.registrar = &registrar.Registrar{Return: returnPeriod}
+	s.registrar = &registrar.Registrar{Return: returnPeriod, Serving: balancer.Serving}
 	s.dispatcher = &dispatcher.Dispatcher{
 		Gatherer: &gatherer.Gatherer{
 			Selector:     &selector.Selector{Domain: s.Settings.Domain, Random: random},
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.Ratio, Slack: s.Settings.Slack, Window: s.Settings.Window.Value()},
 			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
 		},
-		Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
+		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
 	}
 	s.watcher = &watcher.Watcher{
 		Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Changed: s.dispatcher.Update,
 	}
 	s.announcer = &watcher.Announcer{
 		Registry: s.Registry, Logger: s.Logger, Ready: s.Ready,
-		Peer: wigeonspindle.Peer{Name: s.Settings.Name, Caller: s.Settings.Caller, Domain: s.Settings.Domain},
+		Peer: wigeonspindle.Peer{
+			Name: s.Settings.Name, Caller: s.Settings.Caller, Domain: s.Settings.Domain, Capacity: s.Settings.Capacity(),
+		},
 	}
 	s.turn.Store(random.Uint64())
 	s.dispatcher.Run()
@@ -168,13 +171,9 @@
 // not all can be named.
 func (s *Supervisor) Addresses(domain string) []string {
 	var near, far []string
-	self := false
-	for _, peer := range s.registrar.World().Peers {
-		if peer.Name == s.Settings.Name {
-			self = true
-			if s.leaving.Load() {
-				continue
-			}
+	for _, peer := range s.registrar.World().Serving {
+		if peer.Name == s.Settings.Name && s.leaving.Load() {
+			continue
 		}
 		if peer.Domain == domain {
 			near = append(near, peer.Caller)
@@ -182,8 +181,8 @@
 			far = append(far, peer.Caller)
 		}
 	}
-	if !self && s.Ready() {
-		near = append(near, s.Settings.Caller)
+	if len(near)+len(far) == 0 && s.Ready() {
+		near = append(near, s.Settings.Caller) // No host is known, so this one serves.
 	}
 	turn := s.turn.Add(1)
 	addresses := append(rotate(near, turn), rotate(far, turn)...)
--- a/replica.go
+++ b/replica.go
@@ -21,6 +21,8 @@
 	Name   string `json:"name"`
 	Caller string `json:"caller"` // Caller is the address of the callers' listener.
 	Domain string `json:"domain"`
+	// Capacity is the processor that the host may use, in cores.
+	Capacity float64 `json:"capacity"`
 }
 
 // World is what a host believes about its deployment. It is immutable once published.
@@ -29,6 +31,7 @@
 	Replicas map[string][]*Replica // Replicas holds the replicas of each pool.
 	Out      map[string]bool       // Out holds the failure domains that receive no new work.
 	Peers    []Peer                // Peers are sorted by name and include the host itself.
+	Serving  []Peer                // Serving are the peers to which callers are sent.
 	Seen     time.Time             // Seen is when the registry last answered.
 }
 
