Follow the registry through other hosts

Cause: each host followed the store itself, one call a second. One host in each failure domain, three at least, now follows the store; the others follow one of them over drpc, its own domain's first, and turn to the next one or to the store when it fails or knows nothing newer than 2 s. Signs of life are not passed on, only what changes. Ruled out: longer periods, because the tightest bound on acting on a change is 3 s; serializable reads, which may be seconds old. Tests: registrar TestFollow, TestHeartbeat.

--- /dev/null
+++ b/internal/protocol/converter/relay.go
@@ -0,0 +1,74 @@
+package converter
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/protocol/messenger"
+)
+
+// EncodeUpdates translates updates for another host. Times are sent as what is left of them,
+// because clocks differ.
+func EncodeUpdates(updates []wigeonspindle.Update, now time.Time) ([]*messenger.Believed, error) {
+	encoded := make([]*messenger.Believed, 0, len(updates))
+	for i := range updates {
+		update := &updates[i]
+		believed := &messenger.Believed{Subject: uint32(update.Subject), Name: update.Name, Gone: update.Gone}
+		if update.Catalog != nil {
+			catalog, err := json.Marshal(update.Catalog)
+			if err != nil {
+				return nil, errors.Wrap(err, "encode a catalog")
+			}
+			believed.Catalog = catalog
+		}
+		if replica := update.Replica; replica != nil {
+			believed.Replica = &messenger.Known{
+				Id: replica.ID, Pool: replica.Pool, Address: replica.Address, Domain: replica.Domain, Slots: uint32(replica.Slots),
+				Draining: replica.Draining, Cold: int64(max(replica.WarmAt.Sub(now), 0)), Born: replica.Born, Sequence: replica.Sequence,
+			}
+		}
+		if update.Subject == wigeonspindle.SubjectPeer && !update.Gone {
+			believed.Peer = &messenger.Fellow{
+				Name: update.Peer.Name, Caller: update.Peer.Caller, Link: update.Peer.Link, Domain: update.Peer.Domain, Capacity: update.Peer.Capacity,
+			}
+		}
+		encoded = append(encoded, believed)
+	}
+	return encoded, nil
+}
+
+// DecodeUpdates translates the updates of another host.
+func DecodeUpdates(encoded []*messenger.Believed, now time.Time) ([]wigeonspindle.Update, error) {
+	updates := make([]wigeonspindle.Update, 0, len(encoded))
+	for _, believed := range encoded {
+		if believed.GetSubject() > uint32(wigeonspindle.SubjectPeer) {
+			continue // A newer host may know more subjects.
+		}
+		update := wigeonspindle.Update{Subject: wigeonspindle.Subject(believed.GetSubject()), Name: believed.GetName(), Gone: believed.GetGone()}
+		if len(believed.GetCatalog()) > 0 {
+			update.Catalog = &wigeonspindle.Catalog{}
+			if err := json.Unmarshal(believed.GetCatalog(), update.Catalog); err != nil {
+				return nil, errors.Wrap(err, "decode a catalog")
+			}
+		}
+		if known := believed.GetReplica(); known != nil {
+			update.Replica = &wigeonspindle.Replica{
+				ID: known.GetId(), Pool: known.GetPool(), Address: known.GetAddress(), Domain: known.GetDomain(), Slots: int(known.GetSlots()),
+				Draining: known.GetDraining(), Born: known.GetBorn(), Sequence: known.GetSequence(),
+			}
+			if known.GetCold() > 0 {
+				update.Replica.WarmAt = now.Add(time.Duration(known.GetCold()))
+			}
+		}
+		if peer := believed.GetPeer(); peer != nil {
+			update.Peer = wigeonspindle.Peer{
+				Name: peer.GetName(), Caller: peer.GetCaller(), Link: peer.GetLink(), Domain: peer.GetDomain(), Capacity: peer.GetCapacity(),
+			}
+		}
+		updates = append(updates, update)
+	}
+	return updates, nil
+}
--- a/internal/protocol/parser/gateway.go
+++ b/internal/protocol/parser/gateway.go
@@ -14,11 +14,13 @@
 	Name   string `json:"name" validate:"required,max=128"`
 	Domain string `json:"domain" validate:"required,max=64"`
 	// Caller, Directory and Ready are the listeners for requests, for the question where to
-	// connect and for readiness checks. Metrics serves the measurements.
+	// connect and for readiness checks. Metrics serves the measurements, and Link the other
+	// hosts.
 	Caller    string `json:"caller" validate:"required,hostport"`
 	Directory string `json:"directory" validate:"required,hostport"`
 	Ready     string `json:"ready" validate:"required,hostport"`
 	Metrics   string `json:"metrics" validate:"required,hostport"`
+	Link      string `json:"link" validate:"required,hostport"`
 	// Store is the address of the key-value service.
 	Store string `json:"store" validate:"required,hostport"`
 	// Grace is the time between the signal to stop and the kill.
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -30,6 +30,9 @@
 	lost     bool      // lost reports that the registry does not answer.
 	trusted  time.Time // trusted is when missing entries count as gone again.
 	seen     time.Time
+	changes  []change // changes are the latest differences between worlds.
+	position uint64   // position counts the differences.
+	next     chan struct{}
 }
 
 type replicaEntry struct {
@@ -60,10 +63,11 @@
 }
 
 // Apply takes changes and publishes the new world.
-func (r *Registrar) Apply(updates []wigeonspindle.Update, now time.Time) *wigeonspindle.World {
+func (r *Registrar) Apply(batch wigeonspindle.Batch, now time.Time) *wigeonspindle.World {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.answered(now)
+	r.answered(batch.Age, now)
+	updates := batch.Updates
 	for i := range updates {
 		r.apply(&updates[i], now)
 	}
@@ -71,10 +75,11 @@
 }
 
 // Replace takes all entries of the registry; what it does not name is gone.
-func (r *Registrar) Replace(updates []wigeonspindle.Update, now time.Time) *wigeonspindle.World {
+func (r *Registrar) Replace(batch wigeonspindle.Batch, now time.Time) *wigeonspindle.World {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.answered(now)
+	r.answered(batch.Age, now)
+	updates := batch.Updates
 	named := make(map[wigeonspindle.Subject]map[string]bool)
 	for i := range updates {
 		update := &updates[i]
@@ -104,13 +109,15 @@
 	return r.publish(now)
 }
 
-// answered notes that the registry answers.
-func (r *Registrar) answered(now time.Time) {
+// answered notes that the registry answered some time ago.
+func (r *Registrar) answered(age time.Duration, now time.Time) {
 	if r.lost {
 		r.lost = false
 		r.trusted = now.Add(r.Return)
 	}
-	r.seen = now
+	if seen := now.Add(-age); seen.After(r.seen) {
+		r.seen = seen
+	}
 }
 
 func (r *Registrar) apply(update *wigeonspindle.Update, now time.Time) {
@@ -200,6 +207,7 @@
 	if r.Serving != nil {
 		world.Serving = r.Serving(world.Peers)
 	}
+	r.note(Diff(r.World(), world))
 	r.world.Store(world)
 	return world
 }
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -30,17 +30,21 @@
 	return wigeonspindle.Update{Subject: wigeonspindle.SubjectCatalog, Catalog: &wigeonspindle.Catalog{Version: version}}
 }
 
+func batch(updates ...wigeonspindle.Update) wigeonspindle.Batch {
+	return wigeonspindle.Batch{Updates: updates}
+}
+
 // TestVersions guards against a configuration that goes back, however it arrives.
 func TestVersions(t *testing.T) {
 	r := &registrar.Registrar{}
 	for _, step := range []struct{ offered, want uint64 }{{3, 3}, {2, 3}, {7, 7}, {7, 7}, {1, 7}} {
-		r.Apply([]wigeonspindle.Update{catalog(step.offered)}, at(0))
+		r.Apply(batch(catalog(step.offered)), at(0))
 		if got := r.World().Catalog.Version; got != step.want {
 			t.Errorf("version after %d: got %d, want %d", step.offered, got, step.want)
 		}
 	}
-	r.Replace([]wigeonspindle.Update{catalog(4)}, at(0))
-	r.Apply([]wigeonspindle.Update{gone(wigeonspindle.SubjectCatalog, "")}, at(0))
+	r.Replace(batch(catalog(4)), at(0))
+	r.Apply(batch(gone(wigeonspindle.SubjectCatalog, "")), at(0))
 	if got, want := r.World().Catalog.Version, uint64(7); got != want {
 		t.Errorf("version after an older list and a removal: got %d, want %d", got, want)
 	}
@@ -61,17 +65,17 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := &registrar.Registrar{Return: 2 * time.Second}
-			r.Replace([]wigeonspindle.Update{replica("a", 1, 1), peer("h")}, at(0))
+			r.Replace(batch(replica("a", 1, 1), peer("h")), at(0))
 			if test.outage && !r.Lost() {
 				t.Fatal("first loss: got false, want true")
 			}
-			r.Apply([]wigeonspindle.Update{gone(wigeonspindle.SubjectReplica, "a"), gone(wigeonspindle.SubjectPeer, "h")}, at(0))
+			r.Apply(batch(gone(wigeonspindle.SubjectReplica, "a"), gone(wigeonspindle.SubjectPeer, "h")), at(0))
 			for _, after := range []time.Duration{0, time.Second, 3 * time.Second} {
 				var updates []wigeonspindle.Update
 				if test.back && after == time.Second {
 					updates = append(updates, replica("a", 1, 2), peer("h"))
 				}
-				world := r.Apply(updates, at(after))
+				world := r.Apply(batch(updates...), at(after))
 				want, ok := test.wants[after]
 				if !ok {
 					continue
@@ -91,11 +95,11 @@
 func TestReplace(t *testing.T) {
 	r := &registrar.Registrar{Return: 2 * time.Second}
 	out := wigeonspindle.Update{Subject: wigeonspindle.SubjectDomain, Name: "a"}
-	r.Replace([]wigeonspindle.Update{replica("a", 1, 1), peer("h"), out}, at(0))
+	r.Replace(batch(replica("a", 1, 1), peer("h"), out), at(0))
 	if !r.World().Out["a"] {
 		t.Fatal("domain: got in service, want out")
 	}
-	world := r.Replace([]wigeonspindle.Update{replica("b", 1, 1)}, at(time.Second))
+	world := r.Replace(batch(replica("b", 1, 1)), at(time.Second))
 	if got, want := len(world.Replicas["pool"]), 1; got != want || world.Replicas["pool"][0].ID != "b" {
 		t.Errorf("replicas: got %v, want only b", world.Replicas["pool"])
 	}
@@ -119,7 +123,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := &registrar.Registrar{}
-			world := r.Apply([]wigeonspindle.Update{replica("a", 5, 8), test.next}, at(0))
+			world := r.Apply(batch(replica("a", 5, 8), test.next), at(0))
 			if got := world.Replicas["pool"][0].Sequence; got != test.want {
 				t.Errorf("sequence: got %d, want %d", got, test.want)
 			}
@@ -130,9 +134,56 @@
 // TestForeign guards against an entry of another writer that names a replica to use.
 func TestForeign(t *testing.T) {
 	r := &registrar.Registrar{}
-	r.Apply([]wigeonspindle.Update{replica("a", 1, 1), replica("b", 1, 1)}, at(0))
-	world := r.Apply([]wigeonspindle.Update{{Subject: wigeonspindle.SubjectReplica, Name: "a"}}, at(0))
+	r.Apply(batch(replica("a", 1, 1), replica("b", 1, 1)), at(0))
+	world := r.Apply(batch(wigeonspindle.Update{Subject: wigeonspindle.SubjectReplica, Name: "a"}), at(0))
 	if got, want := len(world.Replicas["pool"]), 1; got != want {
 		t.Errorf("replicas: got %d, want %d", got, want)
 	}
 }
+
+// TestFollow guards against hosts that follow another one and end with other beliefs.
+func TestFollow(t *testing.T) {
+	relay, follower := &registrar.Registrar{}, &registrar.Registrar{}
+	var position uint64
+	for i, step := range [][]wigeonspindle.Update{
+		{catalog(1), replica("a", 1, 1), replica("b", 1, 1), peer("h")},
+		{replica("a", 1, 2), replica("b", 2, 1)},
+		{gone(wigeonspindle.SubjectReplica, "a"), {Subject: wigeonspindle.SubjectDomain, Name: "d"}},
+		{catalog(2), gone(wigeonspindle.SubjectPeer, "h"), gone(wigeonspindle.SubjectDomain, "d")},
+	} {
+		relay.Apply(batch(step...), at(0))
+		updates, next, known, _ := relay.Changes(position)
+		if !known {
+			t.Fatalf("changes after step %d: got unknown, want known", i)
+		}
+		position = next
+		got, want := follower.Apply(batch(updates...), at(0)), relay.World()
+		if left := registrar.Diff(got, want); len(left) != 0 {
+			t.Errorf("difference after step %d: got %+v, want none", i, left)
+		}
+	}
+	everything, _ := relay.Everything()
+	late := &registrar.Registrar{}
+	if left := registrar.Diff(late.Replace(batch(everything...), at(0)), relay.World()); len(left) != 0 {
+		t.Errorf("difference of a late follower: got %+v, want none", left)
+	}
+	if _, _, known, _ := relay.Changes(position + 1); known {
+		t.Error("changes after a position that is to come: got known, want unknown")
+	}
+}
+
+// TestHeartbeat guards against a message to every follower for each sign of life.
+func TestHeartbeat(t *testing.T) {
+	r := &registrar.Registrar{}
+	r.Apply(batch(replica("a", 1, 1)), at(0))
+	_, position, _, next := r.Changes(0)
+	r.Apply(batch(replica("a", 1, 2)), at(time.Second))
+	if updates, _, _, _ := r.Changes(position); len(updates) != 0 {
+		t.Errorf("changes: got %+v, want none", updates)
+	}
+	select {
+	case <-next:
+		t.Error("wait for a change: got woken, want waiting")
+	default:
+	}
+}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -23,6 +23,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
 	"wigeonspindle.example/wigeonspindle/internal/transport/dispatcher"
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
 	"wigeonspindle.example/wigeonspindle/internal/transport/watcher"
 )
 
@@ -67,6 +68,7 @@
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	watcher    *watcher.Watcher
+	sharer     *sharer.Server
 	announcer  *watcher.Announcer
 	listeners  []*server.Listener // listeners begin with the one for callers.
 	leaving    atomic.Bool
@@ -87,12 +89,16 @@
 		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
 	}
 	s.watcher = &watcher.Watcher{
-		Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Changed: s.dispatcher.Update,
+		Host: s.Settings.Name, Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
+		Relays: balancer.Relays, Changed: s.dispatcher.Update,
+	}
+	s.sharer = &sharer.Server{
+		Address: s.Settings.Link, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
 	}
 	s.announcer = &watcher.Announcer{
 		Registry: s.Registry, Logger: s.Logger, Ready: s.Ready,
 		Peer: wigeonspindle.Peer{
-			Name: s.Settings.Name, Caller: s.Settings.Caller, Domain: s.Settings.Domain, Capacity: s.Settings.Capacity(),
+			Name: s.Settings.Name, Caller: s.Settings.Caller, Link: s.Settings.Link, Domain: s.Settings.Domain, Capacity: s.Settings.Capacity(),
 		},
 	}
 	s.turn.Store(random.Uint64())
@@ -101,6 +107,10 @@
 		s.dispatcher.Close()
 		return err
 	}
+	if err := s.sharer.Run(); err != nil {
+		s.dispatcher.Close()
+		return errors.CombineErrors(err, s.closeListeners(context.Background()))
+	}
 	s.watcher.Run()
 	s.announcer.Run()
 	s.Logger.Info("host started", "domain", s.Settings.Domain, "caller", s.Settings.Caller)
@@ -138,6 +148,7 @@
 	defer cancel()
 	err := s.closeListeners(ctx)
 	s.watcher.Close()
+	s.sharer.Close()
 	s.dispatcher.Close()
 	s.Logger.Info("host stopped")
 	return err
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -12,6 +12,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
+	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
 )
 
 // Constants of the duty.
@@ -20,32 +21,53 @@
 	// all the time, so that a request for each change would cost one call a change; the
 	// tightest bound on acting on a change is 3 s.
 	pollPeriod = time.Second
-	// followWait is how long one request waits for a change.
+	// followWait is how long one request to the registry waits for a change.
 	followWait = 2 * time.Second
 	// callTimeout bounds a call beyond its wait; a slow registry needs a quarter of a second.
 	callTimeout = time.Second
-	// retryPeriod is the time between calls to a registry that does not answer.
+	// retryPeriod is the time between calls to a registry that does not answer, and
+	// retryLimit what it grows to.
 	retryPeriod = 400 * time.Millisecond
+	retryLimit  = time.Second
+	// relayWait is how long a request to another host waits for a change, and relayTimeout
+	// bounds the call beyond it. Together they leave time to find another source within the
+	// tightest bound.
+	relayWait    = 800 * time.Millisecond
+	relayTimeout = 400 * time.Millisecond
+	// relayPause bounds the requests to a host whose beliefs change all the time.
+	relayPause = 50 * time.Millisecond
+	// avoidPeriod is how long a host that failed as a source is not asked again.
+	avoidPeriod = 4 * time.Second
 )
 
-// Watcher follows the registry and keeps the registrar up to date.
+// errOld is the failure of a host whose knowledge is too old to rely on.
+var errOld = errors.New("the host's knowledge is too old")
+
+// Watcher keeps the registrar up to date, from the registry or from another host.
 type Watcher struct {
+	Host      string // Host is the name of this host.
 	Registry  wigeonspindle.Registry
 	Registrar *registrar.Registrar
 	Clock     wigeonspindle.Clock
 	Logger    *log.Logger
+	// Relays returns the hosts to follow, the preferred one first; none means the registry.
+	Relays func(peers []wigeonspindle.Peer, self string) []wigeonspindle.Peer
 	// Changed receives each new world.
 	Changed func(world *wigeonspindle.World)
 
+	relay    *sharer.Client // relay is the host that is followed, or nil.
+	avoided  map[string]time.Time
 	revision uint64
 	listed   bool
 	since    time.Time // since is when the registry stopped answering.
+	failures int       // failures counts the failed calls to the registry in a row.
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
 
 // Run starts the duty.
 func (w *Watcher) Run() {
+	w.avoided = make(map[string]time.Time)
 	var ctx context.Context
 	ctx, w.cancel = context.WithCancel(context.Background())
 	w.done.Add(1)
@@ -54,6 +76,7 @@
 		for ctx.Err() == nil {
 			sleep(ctx, w.step(ctx))
 		}
+		w.follow(nil)
 	}()
 }
 
@@ -66,97 +89,149 @@
 // step makes one call and returns the time until the next one.
 func (w *Watcher) step(ctx context.Context) time.Duration {
 	started := w.Clock.Now()
-	updates, revision, err := w.fetch(ctx)
+	w.choose(started)
+	batch, err := w.fetch(ctx)
 	now := w.Clock.Now()
 	switch {
 	case ctx.Err() != nil:
 		return 0
 	case errors.Is(err, wigeonspindle.ErrCompacted):
-		w.Logger.Warn("registry dropped its history", "revision", w.revision)
+		w.Logger.Warn("history dropped", "revision", w.revision, "source", w.source())
 		w.listed = false
 		return 0
 	case err != nil:
-		if w.Registrar.Lost() {
-			w.since = started
-			w.Logger.Warn("registry lost", "revision", w.revision, "error", err)
-		}
-		return retryPeriod
+		return w.failed(err, started, now)
+	}
+	w.learn(batch, now)
+	if w.relay != nil {
+		return relayPause
 	}
 	w.answered(now)
+	return max(pollPeriod-now.Sub(started), 0)
+}
+
+// choose sets the source: the host that is followed as long as it is a relay, or the first
+// relay that is not avoided, or the registry.
+func (w *Watcher) choose(now time.Time) {
+	var first *wigeonspindle.Peer
+	for _, peer := range w.Relays(w.Registrar.World().Peers, w.Host) {
+		if now.Before(w.avoided[peer.Name]) {
+			continue
+		}
+		if w.relay != nil && w.relay.Peer == peer {
+			return
+		}
+		if first == nil {
+			first = &peer
+		}
+	}
+	if first != nil || w.relay != nil {
+		w.follow(first)
+	}
+}
+
+// follow changes the source; nil is the registry.
+func (w *Watcher) follow(peer *wigeonspindle.Peer) {
+	if w.relay != nil {
+		w.relay.Close()
+		w.relay = nil
+	}
+	w.listed = false
+	if peer != nil {
+		w.relay = &sharer.Client{Peer: *peer, Clock: w.Clock}
+	}
+}
+
+// source names the source for logs.
+func (w *Watcher) source() string {
+	if w.relay != nil {
+		return w.relay.Peer.Name
+	}
+	return "registry"
+}
+
+func (w *Watcher) fetch(ctx context.Context) (wigeonspindle.Batch, error) {
+	var source wigeonspindle.Source = w.Registry
+	wait, timeout := followWait, callTimeout
+	if w.relay != nil {
+		source, wait, timeout = w.relay, relayWait, relayTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	defer cancel()
+	var batch wigeonspindle.Batch
+	var err error
+	if w.listed {
+		batch, err = source.Follow(ctx, w.revision, wait)
+	} else {
+		batch, err = source.List(ctx)
+	}
+	if err == nil && batch.Age > sharer.MaxAge {
+		err = errOld
+	}
+	return batch, err
+}
+
+// failed notes a failed call and returns the time until the next one.
+func (w *Watcher) failed(err error, started, now time.Time) time.Duration {
+	if w.relay != nil {
+		w.Logger.Warn("source lost", "source", w.source(), "error", err)
+		w.avoided[w.relay.Peer.Name] = now.Add(avoidPeriod)
+		return 0
+	}
+	if w.Registrar.Lost() {
+		w.since = started
+		w.Logger.Warn("registry lost", "revision", w.revision, "error", err)
+	}
+	w.failures++
+	return min(retryPeriod*time.Duration(w.failures), retryLimit)
+}
+
+// learn takes what a source has told.
+func (w *Watcher) learn(batch wigeonspindle.Batch, now time.Time) {
 	before := w.Registrar.World()
 	var world *wigeonspindle.World
 	if w.listed {
-		world = w.Registrar.Apply(updates, now)
+		world = w.Registrar.Apply(batch, now)
 	} else {
-		world = w.Registrar.Replace(updates, now)
+		world = w.Registrar.Replace(batch, now)
 		w.listed = true
+		w.Logger.Info("source followed", "source", w.source(), "revision", batch.Revision, "entries", len(batch.Updates), "age", batch.Age)
 	}
-	w.revision = revision
-	w.report(before, world)
+	w.revision = batch.Revision
+	w.report(registrar.Diff(before, world))
 	w.Changed(world)
-	return max(pollPeriod-now.Sub(started), 0)
-}
-
-func (w *Watcher) fetch(ctx context.Context) ([]wigeonspindle.Update, uint64, error) {
-	if !w.listed {
-		ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
-		defer cancel()
-		return w.Registry.List(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
-	defer cancel()
-	return w.Registry.Follow(ctx, w.revision, followWait)
 }
 
 // answered notes an answer of the registry.
 func (w *Watcher) answered(now time.Time) {
+	w.failures = 0
 	if !w.since.IsZero() {
 		w.Logger.Info("registry regained", "after", now.Sub(w.since))
 		w.since = time.Time{}
 	}
 }
 
-// report writes a line for each change of belief that matters to calls.
-func (w *Watcher) report(before, after *wigeonspindle.World) {
-	if after.Catalog != before.Catalog {
-		w.Logger.Info("catalog in force", "catalog", after.Catalog.Version, "routes", len(after.Catalog.Routes), "revision", w.revision)
-	}
-	for domain := range after.Out {
-		if !before.Out[domain] {
-			w.Logger.Warn("failure domain out of service", "domain", domain, "revision", w.revision)
-		}
-	}
-	for domain := range before.Out {
-		if !after.Out[domain] {
-			w.Logger.Info("failure domain back in service", "domain", domain, "revision", w.revision)
-		}
-	}
-	if len(before.Peers) != len(after.Peers) {
-		w.Logger.Info("hosts changed", "before", len(before.Peers), "hosts", len(after.Peers), "revision", w.revision)
-	}
-	w.reportReplicas(before, after)
-}
-
-func (w *Watcher) reportReplicas(before, after *wigeonspindle.World) {
-	known := make(map[string]*wigeonspindle.Replica)
-	for _, replicas := range before.Replicas {
-		for _, replica := range replicas {
-			known[replica.ID] = replica
-		}
-	}
-	for _, replicas := range after.Replicas {
-		for _, replica := range replicas {
-			previous, ok := known[replica.ID]
-			delete(known, replica.ID)
-			if !ok || previous.Draining != replica.Draining || previous.Born != replica.Born {
-				w.Logger.Info("replica known", "replica", replica.ID, "pool", replica.Pool, "address", replica.Address,
-					"domain", replica.Domain, "draining", replica.Draining, "sequence", replica.Sequence, "revision", w.revision)
+// report writes a line for each change of belief.
+func (w *Watcher) report(updates []wigeonspindle.Update) {
+	for i := range updates {
+		update := &updates[i]
+		switch update.Subject {
+		case wigeonspindle.SubjectCatalog:
+			w.Logger.Info("catalog in force", "catalog", update.Catalog.Version, "routes", len(update.Catalog.Routes),
+				"source", w.source(), "revision", w.revision)
+		case wigeonspindle.SubjectDomain:
+			w.Logger.Warn("failure domain", "domain", update.Name, "out", !update.Gone, "source", w.source(), "revision", w.revision)
+		case wigeonspindle.SubjectPeer:
+			w.Logger.Info("peer", "peer", update.Name, "gone", update.Gone, "source", w.source(), "revision", w.revision)
+		case wigeonspindle.SubjectReplica:
+			fields := []any{"replica", update.Name, "gone", update.Gone, "source", w.source(), "revision", w.revision}
+			if replica := update.Replica; replica != nil {
+				fields = append(fields, "pool", replica.Pool, "address", replica.Address, "domain", replica.Domain,
+					"draining", replica.Draining, "sequence", replica.Sequence)
 			}
+			w.Logger.Info("replica", fields...)
 		}
 	}
-	for id, replica := range known {
-		w.Logger.Info("replica gone", "replica", id, "pool", replica.Pool, "sequence", replica.Sequence, "revision", w.revision)
-	}
 }
 
 // sleep waits for a period or the end of ctx.
--- a/registry.go
+++ b/registry.go
@@ -13,15 +13,20 @@
 // ErrLapsed reports that a lease has ended.
 var ErrLapsed = errors.New("the lease has ended")
 
+// Source tells what the registry holds.
+type Source interface {
+	// List returns all entries.
+	List(ctx context.Context) (Batch, error)
+	// Follow returns the changes after a revision, waiting for the first one at most wait.
+	// It returns ErrCompacted when the changes are no longer held.
+	Follow(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+}
+
 // Registry is the record of the configuration, the replicas and the hosts that the platform
 // keeps. Its methods return an error when the answer is missing; a change whose answer is
 // missing may have been made.
 type Registry interface {
-	// List returns all entries and the revision from which to follow.
-	List(ctx context.Context) ([]Update, uint64, error)
-	// Follow returns the changes after a revision, waiting for the first one at most wait.
-	// It returns ErrCompacted when the changes are no longer held.
-	Follow(ctx context.Context, after uint64, wait time.Duration) ([]Update, uint64, error)
+	Source
 	// Announce enters a host for as long as the returned lease lives.
 	Announce(ctx context.Context, peer Peer, lease time.Duration) (uint64, error)
 	// Renew prolongs a lease. It returns ErrLapsed when the lease has ended.
--- a/replica.go
+++ b/replica.go
@@ -20,6 +20,7 @@
 type Peer struct {
 	Name   string `json:"name"`
 	Caller string `json:"caller"` // Caller is the address of the callers' listener.
+	Link   string `json:"link"`   // Link is the address of the listener for other hosts.
 	Domain string `json:"domain"`
 	// Capacity is the processor that the host may use, in cores.
 	Capacity float64 `json:"capacity"`
@@ -56,3 +57,11 @@
 	Replica *Replica // Replica is nil in an entry that names no usable replica.
 	Peer    Peer
 }
+
+// Batch holds entries of the registry, or changes of them.
+type Batch struct {
+	Updates  []Update
+	Revision uint64 // Revision is where to follow from.
+	// Age is how old the content is: 0 from the registry itself, more from another host.
+	Age time.Duration
+}
