watcher: shorter waits at the registry, longer leases of hosts

A request to the registry waits 1 s, so that hosts which follow this one never see knowledge older than their limit of 2 s only because nothing changed.

--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -15,9 +15,9 @@
 const (
 	// leasePeriod is how long the entry of a host outlives it. The other hosts and the
 	// callers stop naming a dead host that long after its end.
-	leasePeriod = 3 * time.Second
+	leasePeriod = 4 * time.Second
 	// renewPeriod leaves room for two lost renewals within a lease.
-	renewPeriod = time.Second
+	renewPeriod = 1300 * time.Millisecond
 )
 
 // Announcer keeps the entry of a host in the registry.
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -21,8 +21,9 @@
 	// all the time, so that a request for each change would cost one call a change; the
 	// tightest bound on acting on a change is 3 s.
 	pollPeriod = time.Second
-	// followWait is how long one request to the registry waits for a change.
-	followWait = 2 * time.Second
+	// followWait is how long one request to the registry waits for a change. Hosts that
+	// follow this one rely on knowledge that is at most 2 s old.
+	followWait = time.Second
 	// callTimeout bounds a call beyond its wait; a slow registry needs a quarter of a second.
 	callTimeout = time.Second
 	// retryPeriod is the time between calls to a registry that does not answer, and
