registrar: hosts do not take over entries that may only be returning

A host now answers others only when it is settled: the registry answers, and the time in which entries may return has passed. What a settled host says is believed without a further wait. Ruled out: lost updates. Tests: registrar TestSettled, sharer TestShare.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -30,9 +30,11 @@
 	lost     bool      // lost reports that the registry does not answer.
 	trusted  time.Time // trusted is when missing entries count as gone again.
 	seen     time.Time
-	changes  []change // changes are the latest differences between worlds.
-	position uint64   // position counts the differences.
-	next     chan struct{}
+	// published is when the world was last made.
+	published time.Time
+	changes   []change // changes are the latest differences between worlds.
+	position  uint64   // position counts the differences.
+	next      chan struct{}
 }
 
 type replicaEntry struct {
@@ -66,7 +68,7 @@
 func (r *Registrar) Apply(batch wigeonspindle.Batch, now time.Time) *wigeonspindle.World {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.answered(batch.Age, now)
+	r.answered(&batch, now)
 	updates := batch.Updates
 	for i := range updates {
 		r.apply(&updates[i], now)
@@ -78,7 +80,7 @@
 func (r *Registrar) Replace(batch wigeonspindle.Batch, now time.Time) *wigeonspindle.World {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.answered(batch.Age, now)
+	r.answered(&batch, now)
 	updates := batch.Updates
 	named := make(map[wigeonspindle.Subject]map[string]bool)
 	for i := range updates {
@@ -109,17 +111,28 @@
 	return r.publish(now)
 }
 
-// answered notes that the registry answered some time ago.
-func (r *Registrar) answered(age time.Duration, now time.Time) {
+// answered notes that the registry has answered, this host or the one that it follows.
+func (r *Registrar) answered(batch *wigeonspindle.Batch, now time.Time) {
 	if r.lost {
 		r.lost = false
 		r.trusted = now.Add(r.Return)
 	}
-	if seen := now.Add(-age); seen.After(r.seen) {
+	if batch.Settled {
+		r.trusted = now // The other host has waited for the entries to return.
+	}
+	if seen := now.Add(-batch.Age); seen.After(r.seen) {
 		r.seen = seen
 	}
 }
 
+// Settled reports whether the beliefs hold no entry that may only be on its way back after
+// an outage, so that other hosts can take them over.
+func (r *Registrar) Settled() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.lost && !r.published.Before(r.trusted)
+}
+
 func (r *Registrar) apply(update *wigeonspindle.Update, now time.Time) {
 	switch update.Subject {
 	case wigeonspindle.SubjectCatalog:
@@ -185,6 +198,7 @@
 
 // publish makes the world from the entries.
 func (r *Registrar) publish(now time.Time) *wigeonspindle.World {
+	r.published = now
 	if !now.Before(r.trusted) {
 		maps.DeleteFunc(r.replicas, func(_ string, entry replicaEntry) bool { return entry.lapsed })
 		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.lapsed })
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -187,3 +187,31 @@
 	default:
 	}
 }
+
+// TestSettled guards against hosts that take over an entry which another host only believes
+// to return: they would send to a replica that is gone later than allowed.
+func TestSettled(t *testing.T) {
+	r := &registrar.Registrar{Return: 2 * time.Second}
+	r.Replace(batch(replica("a", 1, 1)), at(0))
+	for _, step := range []struct {
+		name    string
+		act     func()
+		settled bool
+	}{
+		{"first answer", func() {}, true},
+		{"registry lost", func() { r.Lost() }, false},
+		{"regained", func() { r.Apply(batch(gone(wigeonspindle.SubjectReplica, "a")), at(time.Second)) }, false},
+		{"before the entries are given up", func() { r.Apply(batch(), at(2900*time.Millisecond)) }, false},
+		{"after that", func() { r.Apply(batch(), at(3100*time.Millisecond)) }, true},
+	} {
+		step.act()
+		if got := r.Settled(); got != step.settled {
+			t.Errorf("settled, %s: got %v, want %v", step.name, got, step.settled)
+		}
+	}
+	r.Lost()
+	r.Apply(wigeonspindle.Batch{Settled: true}, at(4*time.Second))
+	if !r.Settled() {
+		t.Error("settled after the answer of a settled host: got false, want true")
+	}
+}
--- a/internal/transport/sharer/client.go
+++ b/internal/transport/sharer/client.go
@@ -62,5 +62,5 @@
 		return wigeonspindle.Batch{}, errors.Wrapf(err, "read the answer of host %s", c.Peer.Name)
 	}
 	c.epoch = reply.GetEpoch()
-	return wigeonspindle.Batch{Updates: updates, Revision: reply.GetPosition(), Age: time.Duration(reply.GetAge())}, nil
+	return wigeonspindle.Batch{Updates: updates, Revision: reply.GetPosition(), Age: time.Duration(reply.GetAge()), Settled: true}, nil
 }
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -35,7 +35,7 @@
 )
 
 // errUninformed is returned by a host that does not know enough to be followed.
-var errUninformed = errors.New("the host's knowledge is too old")
+var errUninformed = errors.New("the host's knowledge is old or not settled after an outage")
 
 // Server answers the hosts that follow this one.
 type Server struct {
@@ -95,7 +95,7 @@
 	}
 	now := s.Clock.Now()
 	age := now.Sub(s.Registrar.World().Seen)
-	if age > MaxAge {
+	if age > MaxAge || !s.Registrar.Settled() {
 		return nil, errUninformed
 	}
 	reply.Age = int64(age)
--- /dev/null
+++ b/internal/transport/sharer/sharer_test.go
@@ -0,0 +1,124 @@
+package sharer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
+	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
+	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
+)
+
+// patience bounds a call that a correct program answers at once.
+const patience = 10 * time.Second
+
+// newServer starts a server on a free port and returns its address.
+func newServer(t *testing.T, r *registrar.Registrar, address string, epoch uint64) (*sharer.Server, string) {
+	t.Helper()
+	if address == "" {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server := &sharer.Server{Address: address, Registrar: r, Clock: timekeeper.System{}, Logger: log.New(io.Discard), Epoch: epoch}
+	if err := server.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return server, address
+}
+
+func updates() []wigeonspindle.Update {
+	return []wigeonspindle.Update{
+		{Subject: wigeonspindle.SubjectCatalog, Catalog: &wigeonspindle.Catalog{Version: 7, Routes: []wigeonspindle.Route{{Name: "r", Shards: []string{"p"}, Aim: time.Second}}}},
+		{Subject: wigeonspindle.SubjectReplica, Name: "i", Replica: &wigeonspindle.Replica{
+			ID: "i", Pool: "p", Address: "127.0.0.1:1", Domain: "a", Slots: 2, Born: 5, Sequence: 9, WarmAt: time.Now().Add(time.Hour),
+		}},
+		{Subject: wigeonspindle.SubjectPeer, Name: "h", Peer: wigeonspindle.Peer{Name: "h", Caller: "c", Link: "l", Domain: "a", Capacity: 0.5}},
+		{Subject: wigeonspindle.SubjectDomain, Name: "b"},
+	}
+}
+
+// TestShare guards against a follower that ends with other beliefs than the host it follows.
+func TestShare(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r := &registrar.Registrar{Return: time.Hour}
+	server, address := newServer(t, r, "", 1)
+	client := &sharer.Client{Peer: wigeonspindle.Peer{Name: "relay", Link: address}, Clock: timekeeper.System{}}
+	defer client.Close()
+	if _, err := client.List(ctx); err == nil {
+		t.Error("list of a host that knows nothing: got no error, want one")
+	}
+	r.Replace(wigeonspindle.Batch{Updates: updates()}, time.Now())
+	batch, err := client.List(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	follower := &registrar.Registrar{}
+	world := follower.Replace(batch, time.Now())
+	if got, want := world.Catalog.Routes[0].Aim, time.Second; got != want {
+		t.Errorf("objective: got %v, want %v", got, want)
+	}
+	if got, want := world.Peers[0], updates()[2].Peer; got != want {
+		t.Errorf("peer: got %+v, want %+v", got, want)
+	}
+	if !world.Out["b"] {
+		t.Error("failure domain: got in service, want out")
+	}
+	if got := world.Replicas["p"][0]; got.Born != 5 || got.Slots != 2 || time.Until(got.WarmAt) < 50*time.Minute {
+		t.Errorf("replica: got %+v, want the one that the other host knows", got)
+	}
+	go r.Apply(wigeonspindle.Batch{Updates: []wigeonspindle.Update{{Subject: wigeonspindle.SubjectReplica, Name: "i", Gone: true}}}, time.Now())
+	changes, err := client.Follow(ctx, batch.Revision, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(changes.Updates), 1; got != want || !changes.Updates[0].Gone {
+		t.Errorf("changes: got %+v, want the removal", changes.Updates)
+	}
+	r.Lost()
+	if _, err := client.Follow(ctx, changes.Revision, 0); err == nil {
+		t.Error("answer of a host that has lost the registry: got no error, want one")
+	}
+	server.Close()
+}
+
+// TestRestart guards against positions of an earlier run that are taken for those of the
+// present one.
+func TestRestart(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r := &registrar.Registrar{}
+	r.Replace(wigeonspindle.Batch{Updates: updates()}, time.Now())
+	first, address := newServer(t, r, "", 1)
+	client := &sharer.Client{Peer: wigeonspindle.Peer{Name: "relay", Link: address}, Clock: timekeeper.System{}}
+	defer client.Close()
+	batch, err := client.List(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	second, _ := newServer(t, r, address, 2)
+	defer second.Close()
+	_, err = client.Follow(ctx, batch.Revision, 0)
+	if err != nil && !errors.Is(err, wigeonspindle.ErrCompacted) { // The old connection may fail first.
+		_, err = client.Follow(ctx, batch.Revision, 0)
+	}
+	if !errors.Is(err, wigeonspindle.ErrCompacted) {
+		t.Errorf("error after a restart: got %v, want %v", err, wigeonspindle.ErrCompacted)
+	}
+}
--- a/replica.go
+++ b/replica.go
@@ -64,4 +64,7 @@
 	Revision uint64 // Revision is where to follow from.
 	// Age is how old the content is: 0 from the registry itself, more from another host.
 	Age time.Duration
+	// Settled reports that the content holds no entry that is only believed to return after
+	// an outage of the registry.
+	Settled bool
 }
