dispatcher: a host that is not listed keeps its connections

Cause: TestStop, new with the tests of the whole host, saw 503 during a planned stop. A stopping host withdraws its entry first, then counted as one that stands by, with a single connection to a replica, while its callers still came; the same for a host whose entry lapsed because the registry turned it away. Only a host that is listed and not chosen stands by now. Ruled out: the replicas (two slots each, three calls at a time).

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -164,7 +164,9 @@
 		d.matcher = matcher.New(world.Catalog)
 	}
 	d.world = world
-	d.serving = slices.ContainsFunc(world.Serving, func(peer wigeonspindle.Peer) bool { return peer.Name == d.Host })
+	own := func(peer wigeonspindle.Peer) bool { return peer.Name == d.Host }
+	// A host that stops, or whose entry has lapsed, is not listed and still has callers.
+	d.serving = slices.ContainsFunc(world.Serving, own) || !slices.ContainsFunc(world.Peers, own)
 	d.Gatherer.Keep(world)
 	known := make(map[string]bool)
 	for _, replicas := range world.Replicas {
