throttler: admit fewer calls while replicas refuse parts

Hosts now lower the share of calls that they admit by the pressure of the pool that decides the coverage, refuse the others at once with a time to return, and send no hedges to pools under pressure. Ruled out: fewer repeats alone (the refusals are of first sends as well), throttling by route (the less urgent kind would be served more often, since it can miss more parts).

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -12,6 +12,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/merger"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 )
 
 // Constants of the decisions.
@@ -30,6 +31,13 @@
 	hedgeFloor = 3 * time.Millisecond
 	// hedgeFill is the used part of the budget from which only failed sends are repeated.
 	hedgeFill = 0.85
+	// hedgePressure is the pressure of a pool from which a hedge would only take the place of
+	// another call.
+	hedgePressure = 0.4
+	// lateShare is the part of the objective from which an answer counts as close to late.
+	lateShare = 0.6
+	// closeStrain is the strain of an answer that was close to late.
+	closeStrain = 0.4
 	// guessShare is the share of the objective that stands for the median time until
 	// answers have been seen.
 	guessShare = 0.2
@@ -64,8 +72,9 @@
 
 // Gatherer starts the calls of a host. It is used by one goroutine.
 type Gatherer struct {
-	Selector *selector.Selector
-	Budget   *budgeter.Budgeter
+	Selector  *selector.Selector
+	Budget    *budgeter.Budgeter
+	Throttler *throttler.Throttler
 
 	estimates map[string]wigeonspindle.Estimator
 	// NewEstimator returns an empty estimator.
@@ -136,6 +145,10 @@
 		gather.decided = true
 		return gather, Step{Reply: gather.refuse(wigeonspindle.CodeUnavailable, "too few shards have a usable replica")}
 	}
+	if len(route.Shards) > 0 && !g.Throttler.Admit(pools, len(pools)-gather.need, now) {
+		gather.decided = true
+		return gather, Step{Reply: gather.refuse(wigeonspindle.CodeOverloaded, "the shards have more to do than they can")}
+	}
 	var step Step
 	for i := range gather.parts {
 		gather.try(i, wigeonspindle.SendFirst, now, &step)
@@ -151,6 +164,7 @@
 	p.remove(sent.Number)
 	estimator := g.gatherer.estimator(g.Route)
 	g.gatherer.Selector.Finished(sent.Replica.ID, sent.At, sent.Expected, exchange, now)
+	g.gatherer.Throttler.Observe(p.pool, g.strain(exchange), now)
 	if exchange.Response != nil && exchange.Response.Success() {
 		estimator.Observe(exchange.Took, now)
 	}
@@ -291,6 +305,18 @@
 	g.try(index, wigeonspindle.SendRetry, now, step)
 }
 
+// strain returns how a send went, from 0 for an answer in time to 1 for a refusal.
+func (g *Gather) strain(exchange wigeonspindle.Exchange) float64 {
+	refused := exchange.Code == wigeonspindle.CodeOverloaded || exchange.Response != nil && exchange.Response.Refused
+	switch {
+	case refused || exchange.Response != nil && exchange.Took > g.Route.Aim:
+		return 1
+	case exchange.Took > time.Duration(lateShare*float64(g.Route.Aim)):
+		return closeStrain
+	}
+	return 0
+}
+
 // exhausted reports whether all usable replicas of a part have been tried.
 func (g *Gather) exhausted(p *part, now time.Time) bool {
 	_, ok := g.gatherer.Selector.Pick(g.World, p.pool, p.tried, g.expected(now), now)
@@ -358,7 +384,8 @@
 		p.runs+1 >= g.Route.Attempts {
 		return time.Time{}
 	}
-	if g.gatherer.Budget.Fill(p.pool, len(g.World.Serving), now) >= hedgeFill {
+	if g.gatherer.Budget.Fill(p.pool, len(g.World.Serving), now) >= hedgeFill ||
+		g.gatherer.Throttler.Pressure(p.pool, now) >= hedgePressure {
 		return time.Time{}
 	}
 	delay := max(time.Duration(hedgeFactor*float64(g.expected(now))), hedgeFloor)
@@ -449,7 +476,9 @@
 			delete(g.splits, name)
 		}
 	}
-	g.Budget.Keep(func(pool string) bool { _, ok := world.Catalog.Pools[pool]; return ok })
+	used := func(pool string) bool { _, ok := world.Catalog.Pools[pool]; return ok }
+	g.Budget.Keep(used)
+	g.Throttler.Keep(used)
 	g.Selector.Keep(world)
 }
 
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -11,6 +11,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 )
 
 // start is the beginning of every test's time.
@@ -30,6 +31,7 @@
 	h := &harness{
 		Gatherer: &gatherer.Gatherer{
 			Selector:     &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(1, 2))},
+			Throttler:    &throttler.Throttler{Random: rand.New(rand.NewPCG(3, 4))},
 			Budget:       &budgeter.Budgeter{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
 		},
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -18,6 +18,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
 	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
 	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
@@ -83,6 +84,7 @@
 	s.dispatcher = &dispatcher.Dispatcher{
 		Gatherer: &gatherer.Gatherer{
 			Selector:     &selector.Selector{Domain: s.Settings.Domain, Random: random},
+			Throttler:    &throttler.Throttler{Random: random},
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.Ratio, Slack: s.Settings.Slack, Window: s.Settings.Window.Value()},
 			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
 		},
