--- /dev/null
+++ b/internal/transport/administrator/callmeter_test.go
@@ -0,0 +1,40 @@
+package administrator_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/transport/administrator"
+)
+
+// TestCallMeter guards against counts that on-call engineers look for and do not find, and
+// against a series for each of any number of routes.
+func TestCallMeter(t *testing.T) {
+	m := administrator.NewCallMeter()
+	m.Replied("search", "answered", 20*time.Millisecond)
+	m.Covered("search", 18, 20)
+	m.Sent("search", wigeonspindle.SendHedge)
+	for i := range 200 {
+		m.Replied(fmt.Sprintf("route-%d", i), "invalid", 0)
+	}
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	text := recorder.Body.String()
+	for _, want := range []string{
+		`wigeonspindle_calls_total{outcome="answered",route="search"} 1`,
+		`wigeonspindle_call_parts_missing_total{route="search"} 2`,
+		`wigeonspindle_sends_total{kind="hedge",route="search"} 1`,
+		`wigeonspindle_call_duration_seconds_count{route="search"} 1`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics: got no line %s", want)
+		}
+	}
+	if got, limit := strings.Count(text, "wigeonspindle_calls_total{"), 66; got > limit {
+		t.Errorf("series of calls: got %d, want at most %d", got, limit)
+	}
+}
