selector: leave out a replica whose address another one has

Such a replica is left out until its entry shows a new run, 10 s at most. Besides, 35% of the hosts lost their entries to the store meanwhile, so that callers were sent to 65 instead of 8 hosts, each with its part of the slack once more: the parts are smaller (0.35 of the slack, 0.6 before), and the serving hosts are now the strong ones and as many others as make up a quarter of the capacity and six hosts. Ruled out: repeats that are not counted (each takes from the budget before it is sent).

--- a/internal/coordination/balancer/serving.go
+++ b/internal/coordination/balancer/serving.go
@@ -11,10 +11,10 @@
 	// capacityShare is the part of the largest capacity from which a host serves calls while
 	// enough such hosts live. A weaker host needs several times as long for a wide query.
 	capacityShare = 0.5
-	// leastServing and leastShare are the least number of serving hosts, and their least
-	// share of all hosts, so that the loss of a few serving hosts leaves room.
+	// leastServing is the least number of serving hosts, and leastTotal their least share of
+	// the capacity of all hosts, so that the loss of a few of them leaves room.
 	leastServing = 6
-	leastShare   = 1.0 / 24
+	leastTotal   = 0.25
 )
 
 // Serving returns the hosts to which callers are sent, the strongest first. The other hosts
@@ -22,11 +22,16 @@
 func Serving(peers []wigeonspindle.Peer) []wigeonspindle.Peer {
 	ordered := slices.Clone(peers)
 	slices.SortStableFunc(ordered, func(a, b wigeonspindle.Peer) int { return cmp.Compare(b.Capacity, a.Capacity) })
-	least := max(leastServing, int(leastShare*float64(len(peers))))
+	total, taken := 0.0, 0.0
+	for _, peer := range peers {
+		total += peer.Capacity
+	}
 	for i, peer := range ordered {
-		if i >= least && peer.Capacity < capacityShare*ordered[0].Capacity && peer.Capacity < ordered[least-1].Capacity {
+		strong := peer.Capacity >= capacityShare*ordered[0].Capacity
+		if !strong && i >= leastServing && taken >= leastTotal*total {
 			return ordered[:i]
 		}
+		taken += peer.Capacity
 	}
 	return ordered
 }
--- a/internal/coordination/budgeter/budgeter.go
+++ b/internal/coordination/budgeter/budgeter.go
@@ -10,9 +10,10 @@
 	slices = 20
 	// ratioShare leaves room for calls that hosts and operators count in different windows.
 	ratioShare = 0.9
-	// slackShare leaves room for hosts that restart with an empty count or that see fewer
-	// hosts than there are.
-	slackShare = 0.6
+	// slackShare leaves room for hosts that restart with an empty count, for hosts that see
+	// fewer hosts than there are, and for other hosts that begin to serve within a window: each
+	// of these uses its part once more.
+	slackShare = 0.35
 )
 
 // Budgeter counts calls and repeated sends for each pool.
--- a/internal/coordination/budgeter/budgeter_test.go
+++ b/internal/coordination/budgeter/budgeter_test.go
@@ -81,3 +81,27 @@
 	}
 	return n
 }
+
+// TestTransition guards against hosts that together repeat too much while other hosts begin
+// to serve: on a grown site 8 hosts with an eighth of the slack each were joined within a
+// window by 60 with a sixtieth.
+func TestTransition(t *testing.T) {
+	const before, after, calls = 8, 65, 1200
+	total := 0
+	for host := range after {
+		b := &budgeter.Budgeter{Ratio: 0.2, Slack: 278, Window: 10 * time.Second}
+		for i := range calls / after {
+			b.Call("pool", start.Add(time.Duration(i)*time.Millisecond))
+		}
+		hosts := after
+		if host < before {
+			hosts = before
+		}
+		for b.Take("pool", hosts, start.Add(time.Second)) {
+			total++
+		}
+	}
+	if got, limit := total, int(0.2*calls+278); got > limit {
+		t.Errorf("repeated sends: got %d, want at most %d", got, limit)
+	}
+}
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -163,7 +163,7 @@
 	p := &g.parts[sent.Part]
 	p.remove(sent.Number)
 	estimator := g.gatherer.estimator(g.Route)
-	g.gatherer.Selector.Finished(sent.Replica.ID, sent.At, sent.Expected, exchange, now)
+	g.gatherer.Selector.Finished(sent.Replica, sent.At, sent.Expected, exchange, now)
 	g.gatherer.Throttler.Observe(p.pool, g.strain(exchange), now)
 	if exchange.Response != nil && exchange.Response.Success() {
 		estimator.Observe(exchange.Took, now)
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -26,6 +26,9 @@
 	// failure doubles it up to lastBlock.
 	firstBlock = 100 * time.Millisecond
 	lastBlock  = 2 * time.Second
+	// replacedPeriod is how long a replica whose address another one has is left out. Its
+	// entry is removed after three missed signs of life.
+	replacedPeriod = 10 * time.Second
 	// silence is the age of an unanswered send, in expected times, from which a replica
 	// counts as silent; silenceFloor is its least value. A pause of a replica is shorter.
 	silence      = 10
@@ -61,10 +64,14 @@
 	updated  time.Time
 	failures int       // failures counts connection failures in a row.
 	blocked  time.Time // blocked is when the replica may be tried again.
-	load     wigeonspindle.TargetLoad
-	loadSeen time.Time
-	tokens   float64 // tokens is the number of calls that may be sent while the replica is cold.
-	refilled time.Time
+	// replaced is the start of the run whose address another replica was found to have, and
+	// replacedAt when that was.
+	replaced   int64
+	replacedAt time.Time
+	load       wigeonspindle.TargetLoad
+	loadSeen   time.Time
+	tokens     float64 // tokens is the number of calls that may be sent while the replica is cold.
+	refilled   time.Time
 }
 
 // Pick chooses a replica of a pool for a call that is expected to take some time. It leaves
@@ -77,7 +84,7 @@
 			continue
 		}
 		standing := s.standing(replica.ID, now)
-		if !standing.usable(expected, now) || !s.admits(world, replica, standing, now) {
+		if !standing.usable(replica, expected, now) || !s.admits(world, replica, standing, now) {
 			continue
 		}
 		if cost := s.cost(replica, standing, expected, now); cost < lowest {
@@ -90,7 +97,7 @@
 // Usable reports whether a replica of the pool could take a call now.
 func (s *Selector) Usable(world *wigeonspindle.World, pool string, expected time.Duration, now time.Time) bool {
 	for _, replica := range world.Replicas[pool] {
-		if Open(world, replica) && s.standing(replica.ID, now).usable(expected, now) {
+		if Open(world, replica) && s.standing(replica.ID, now).usable(replica, expected, now) {
 			return true
 		}
 	}
@@ -112,8 +119,8 @@
 }
 
 // Finished notes the result of a send that was made at a time and expected to take a while.
-func (s *Selector) Finished(id string, sent time.Time, expected time.Duration, exchange wigeonspindle.Exchange, now time.Time) {
-	standing := s.standing(id, now)
+func (s *Selector) Finished(replica *wigeonspindle.Replica, sent time.Time, expected time.Duration, exchange wigeonspindle.Exchange, now time.Time) {
+	standing := s.standing(replica.ID, now)
 	standing.remove(sent)
 	standing.decay(now)
 	if response := exchange.Response; response != nil && response.Load.Known {
@@ -125,6 +132,10 @@
 		}
 		return
 	}
+	if exchange.Response.Stranger {
+		standing.replaced, standing.replacedAt = replica.Born, now
+		return
+	}
 	standing.failures, standing.blocked = 0, time.Time{}
 	failed := 0.0
 	if exchange.Response.Refused || exchange.Response.Status >= 500 {
@@ -215,8 +226,12 @@
 	return known
 }
 
-// usable reports whether the replica is neither blocked after failures nor silent.
-func (st *standing) usable(expected time.Duration, now time.Time) bool {
+// usable reports whether the replica still has its address and is neither blocked after
+// failures nor silent.
+func (st *standing) usable(replica *wigeonspindle.Replica, expected time.Duration, now time.Time) bool {
+	if !st.replacedAt.IsZero() && st.replaced == replica.Born && now.Sub(st.replacedAt) < replacedPeriod {
+		return false
+	}
 	return !now.Before(st.blocked) && st.age(now) < max(silence*expected, silenceFloor)
 }
 
