throttler: calls do without different shards when a few are overloaded

Each host now lowers the share of calls that it sends to a pool under pressure; a call does without at most as many shards as its coverage allows, chosen at random, and says so in its coverage. Test: TestSkip: 900 of 1200 calls at least succeed, where without fewer do.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -102,6 +102,7 @@
 	next     time.Time // next is when Tick is due; it may be earlier than anything is to be done.
 	Hedges   int
 	Retries  int
+	Skipped  int // Skipped counts the parts that were not asked for.
 }
 
 type part struct {
@@ -151,7 +152,16 @@
 		return gather, Step{Reply: gather.refuse(wigeonspindle.CodeOverloaded, "the shards have more to do than they can")}
 	}
 	var step Step
+	if len(route.Shards) > 0 {
+		for _, i := range g.Throttler.Skip(pools, len(pools)-gather.need, now) {
+			gather.fail(&gather.parts[i])
+			gather.Skipped++
+		}
+	}
 	for i := range gather.parts {
+		if gather.parts[i].failed {
+			continue
+		}
 		gather.try(i, wigeonspindle.SendFirst, now, &step)
 	}
 	gather.next = gather.wake(now)
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -41,13 +41,19 @@
 type pressure struct {
 	value   float64
 	updated time.Time
+	sends   share // sends is the share of the calls that are sent to the pool.
+}
+
+// share is the part of some calls that is let through.
+type share struct {
+	value   float64
+	updated time.Time
 }
 
 // group is the state of the calls that go to the same pools.
 type group struct {
-	share     float64
+	calls     share
 	tolerance int // tolerance is the least number of pools that a call of the group can miss.
-	updated   time.Time
 }
 
 // Observe notes how a send to a pool went: 0 for an answer in time, 1 for a refusal or an
@@ -58,7 +64,7 @@
 	}
 	p, ok := t.pools[pool]
 	if !ok {
-		t.pools[pool] = &pressure{value: strain * learning, updated: now}
+		t.pools[pool] = &pressure{value: strain * learning, updated: now, sends: share{value: 1, updated: now}}
 		return
 	}
 	p.decay(now)
@@ -87,12 +93,33 @@
 	}
 	g, ok := t.groups[pools[0]]
 	if !ok {
-		g = &group{share: 1, tolerance: tolerance, updated: now}
+		g = &group{calls: share{value: 1, updated: now}, tolerance: tolerance}
 		t.groups[pools[0]] = g
 	}
 	g.tolerance = min(g.tolerance, tolerance, len(pools)-1)
-	g.adjust(t.decisive(pools, g.tolerance, now), now)
-	return g.share >= 1 || t.Random.Float64() < g.share
+	g.calls.adjust(t.decisive(pools, g.tolerance, now), now)
+	return g.calls.value >= 1 || t.Random.Float64() < g.calls.value
+}
+
+// Skip returns the pools, by their index, to which a call is not sent, at most as many as it
+// can miss. When a few shards bear only a part of the calls, each call does without some of
+// them, so that what they bear comes in time; if all calls asked all of them, their answers
+// would come too late for every call.
+func (t *Throttler) Skip(pools []string, tolerance int, now time.Time) []int {
+	var skipped []int
+	for i, pool := range pools {
+		p, ok := t.pools[pool]
+		if !ok {
+			continue
+		}
+		p.decay(now)
+		p.sends.adjust(p.value, now)
+		if p.sends.value < 1 && t.Random.Float64() >= p.sends.value {
+			skipped = append(skipped, i)
+		}
+	}
+	t.Random.Shuffle(len(skipped), func(i, j int) { skipped[i], skipped[j] = skipped[j], skipped[i] })
+	return skipped[:min(len(skipped), tolerance)]
 }
 
 // decisive returns the pressure of the pool that decides whether a call succeeds: the
@@ -120,15 +147,16 @@
 	}
 }
 
-func (g *group) adjust(pressure float64, now time.Time) {
-	elapsed := min(now.Sub(g.updated), longest).Seconds()
-	g.updated = now
+// adjust lowers the share under pressure and raises it without.
+func (s *share) adjust(pressure float64, now time.Time) {
+	elapsed := min(now.Sub(s.updated), longest).Seconds()
+	s.updated = now
 	if pressure > tolerated {
 		excess := (pressure - tolerated) / (1 - tolerated)
-		g.share = max(g.share*math.Exp(-decrease*excess*elapsed), least)
+		s.value = max(s.value*math.Exp(-decrease*excess*elapsed), least)
 		return
 	}
-	g.share = min(g.share+increase*elapsed*(1-pressure/tolerated), 1)
+	s.value = min(s.value+increase*elapsed*(1-pressure/tolerated), 1)
 }
 
 // decay lets the pressure fall while nothing is sent.
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -35,8 +35,8 @@
 
 // load replays calls over shards whose replicas bear a number of sends a second and refuse
 // the rest; a refused part is sent to the other replica. It returns the number of successful
-// calls in the second half.
-func load(t *testing.T, hosts []*throttler.Throttler, callsPerSecond, capacity float64, overloaded, tolerance int) int {
+// calls in the second half. Calls skip pools only if skip is set.
+func load(t *testing.T, hosts []*throttler.Throttler, callsPerSecond, capacity float64, overloaded, tolerance int, skip bool) int {
 	t.Helper()
 	const count, seconds = 20, 8
 	pools, shards := make([]string, count), make([]shard, count)
@@ -54,8 +54,17 @@
 		if host != nil && !host.Admit(pools, tolerance, at(now)) {
 			continue
 		}
-		missing := 0
+		skipped := make(map[int]bool)
+		if host != nil && skip {
+			for _, i := range host.Skip(pools, tolerance, at(now)) {
+				skipped[i] = true
+			}
+		}
+		missing := len(skipped)
 		for i := range shards {
+			if skipped[i] {
+				continue
+			}
 			first := random.IntN(2)
 			in := i >= overloaded
 			for try := 0; try < 2 && !in; try++ {
@@ -92,8 +101,8 @@
 			for i := range hosts {
 				hosts[i] = &throttler.Throttler{Random: rand.New(rand.NewPCG(uint64(i), 1))}
 			}
-			without := load(t, make([]*throttler.Throttler, 4), demand*capacity, capacity, 20, 2)
-			with := load(t, hosts, demand*capacity, capacity, 20, 2)
+			without := load(t, make([]*throttler.Throttler, 4), demand*capacity, capacity, 20, 2, false)
+			with := load(t, hosts, demand*capacity, capacity, 20, 2, true)
 			if least := capacity * half / 2; with < least {
 				t.Errorf("successful calls: got %d, want at least %d", with, least)
 			}
@@ -118,7 +127,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			host := &throttler.Throttler{Random: rand.New(rand.NewPCG(1, 1))}
-			got := load(t, []*throttler.Throttler{host}, test.demand*capacity, capacity, test.overloaded, 2)
+			got := load(t, []*throttler.Throttler{host}, test.demand*capacity, capacity, test.overloaded, 2, true)
 			if want := int(0.95 * test.demand * capacity * half); got < want {
 				t.Errorf("successful calls: got %d, want at least %d", got, want)
 			}
@@ -166,3 +175,20 @@
 		t.Errorf("admitted calls that can miss a part: got %d, want about %d like the others", got, want)
 	}
 }
+
+// TestSkip replays three shards that bear a third of the calls each, of which a call can miss
+// two. It guards against calls that all ask all three and mostly miss all three.
+func TestSkip(t *testing.T) {
+	const capacity, demand, half = 100, 3, 4
+	results := make(map[bool]int)
+	for _, skip := range []bool{false, true} {
+		host := &throttler.Throttler{Random: rand.New(rand.NewPCG(1, 1))}
+		results[skip] = load(t, []*throttler.Throttler{host}, demand*capacity, capacity, 3, 2, skip)
+	}
+	if got, want := results[true], results[false]; got <= want {
+		t.Errorf("successful calls: got %d, want more than the %d without", got, want)
+	}
+	if got, want := results[true], demand*capacity*half*3/4; got < want {
+		t.Errorf("successful calls: got %d, want at least %d", got, want)
+	}
+}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -38,7 +38,7 @@
 	if p.gather != nil {
 		in, total := p.gather.Coverage()
 		fields = append(fields, "catalog", p.gather.World.Catalog.Version, "parts", in, "of", total,
-			"sends", p.gather.Arrivals(), "hedges", p.gather.Hedges, "retries", p.gather.Retries)
+			"sends", p.gather.Arrivals(), "hedges", p.gather.Hedges, "retries", p.gather.Retries, "skipped", p.gather.Skipped)
 		d.Meter.Covered(route, in, total)
 	}
 	if reply.Refusal != nil {
