--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -46,9 +46,10 @@
 	retryPause = 5 * time.Millisecond
 	// maxSends bounds the sends for one part.
 	maxSends = 5
-	// retryAfter is when a caller may come again when no replica is usable: the time in
-	// which a crashed replica or an entry of the registry usually returns.
-	retryAfter = 400 * time.Millisecond
+	// retryAfter is when a caller may come again when no replica is usable, or an overload is
+	// to pass; retrySpread is added at random, so that refused callers do not return together.
+	retryAfter  = 300 * time.Millisecond
+	retrySpread = 300 * time.Millisecond
 )
 
 // Send is one send to a replica.
@@ -449,7 +450,7 @@
 	}
 	reply := &wigeonspindle.CallReply{Refusal: &wigeonspindle.Refusal{Code: code, Verdict: verdict, Message: message}}
 	if verdict == wigeonspindle.NotRun {
-		reply.RetryAfter = retryAfter
+		reply.RetryAfter = retryAfter + time.Duration(g.gatherer.Selector.Random.Int64N(int64(retrySpread)))
 	}
 	return reply
 }
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -277,3 +277,17 @@
 		t.Errorf("calls of the heavier pool: got %d, want %d", got, want)
 	}
 }
+
+// TestSpread guards against refused callers who all come back at the same moment.
+func TestSpread(t *testing.T) {
+	h := newHarness(4)
+	h.world.Out = map[string]bool{"a": true, "b": true}
+	times := make(map[time.Duration]bool)
+	for range 20 {
+		_, step := h.call(0)
+		times[step.Reply.RetryAfter] = true
+	}
+	if got, want := len(times), 15; got < want {
+		t.Errorf("different times to return of 20 callers: got %d, want at least %d", got, want)
+	}
+}
