--- a/internal/coordination/gatherer/gather.go
+++ b/internal/coordination/gatherer/gather.go
@@ -68,7 +68,7 @@
 	return step
 }
 
-// Tick makes what is due: hedges, repeated sends, the end of the call.
+// Tick does what is due: hedges, repeated sends, the end of the call.
 func (g *Gather) Tick(now time.Time) Step {
 	var step Step
 	if g.decided {
