--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -291,3 +291,32 @@
 		t.Errorf("different times to return of 20 callers: got %d, want at least %d", got, want)
 	}
 }
+
+// TestUnsealed guards against a failure that is not the replica's own answer and whose status
+// promises the caller that the call has not run.
+func TestUnsealed(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		seal   string
+		passed bool
+	}{{"sealed", "s", true}, {"unsealed", "", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(1)
+			h.route.Class, h.route.Shards = wigeonspindle.Once, nil
+			h.route.Split = []wigeonspindle.Share{{Pool: "shard-0", Weight: 1}}
+			gather, step := h.call(0)
+			next := gather.Finished(step.Sends[0], wigeonspindle.Exchange{
+				Verdict: wigeonspindle.Ran, Sent: true, Response: &wigeonspindle.Response{Status: 503, Seal: test.seal},
+			}, at(time.Millisecond))
+			if next.Reply == nil {
+				t.Fatal("reply: got none, want one")
+			}
+			if got, want := next.Reply.Response != nil, test.passed; got != want {
+				t.Errorf("failure passed on: got %v, want %v", got, want)
+			}
+			if !test.passed && next.Reply.Refusal.Verdict == wigeonspindle.NotRun {
+				t.Errorf("verdict: got %v, want one that admits a run", next.Reply.Refusal.Verdict)
+			}
+		})
+	}
+}
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -6,10 +6,12 @@
 	"wigeonspindle.example/wigeonspindle"
 )
 
+// part is the state of one shard's part of a call, or of the whole call when one replica
+// answers it.
 type part struct {
 	pool     string
 	response *wigeonspindle.Response // response is the accepted answer.
-	failure  *wigeonspindle.Response // failure is a replica's own failure.
+	failure  *wigeonspindle.Response // failure is a replica's own failure, with its seal.
 	tried    []string
 	inflight []Send
 	sends    int
