server: a connection without a request does not fail a planned stop

The listener now fails only when a request was still in progress. Test: TestCloseListener fails without the change for the connection without a request, and sees a request in progress before and after.

--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -37,8 +37,8 @@
 	listener net.Listener
 	done     chan struct{}
 	mutex    sync.Mutex
-	busy     map[net.Conn]bool // busy holds the connections with a request to come or to answer.
-	quiet    chan struct{}     // quiet is closed when a closing listener has no busy connection.
+	busy     map[net.Conn]http.ConnState // busy holds the connections with a request to come or to answer.
+	quiet    chan struct{}               // quiet is closed when a closing listener has no busy connection.
 }
 
 // Run listens and starts serving.
@@ -48,7 +48,7 @@
 		return errors.Wrapf(err, "listen for %s on %s", l.Name, l.Address)
 	}
 	listener = netutil.LimitListener(listener, l.Connections)
-	l.listener, l.busy = listener, make(map[net.Conn]bool)
+	l.listener, l.busy = listener, make(map[net.Conn]http.ConnState)
 	l.http.ConnState = l.track
 	l.http.Handler = l.Handler
 	l.http.ReadHeaderTimeout = headerTimeout
@@ -79,7 +79,12 @@
 	}
 	err := l.http.Shutdown(ctx)
 	if err != nil {
-		err = errors.CombineErrors(err, l.http.Close())
+		active := l.active()
+		closing := l.http.Close()
+		if active == 0 && errors.Is(err, context.DeadlineExceeded) {
+			err = nil // Only connections without a request were left.
+		}
+		err = errors.CombineErrors(err, closing)
 	}
 	return errors.Wrapf(err, "stop listener for %s", l.Name)
 }
@@ -89,7 +94,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if state == http.StateNew || state == http.StateActive {
-		l.busy[connection] = true
+		l.busy[connection] = state
 		return
 	}
 	delete(l.busy, connection)
@@ -99,6 +104,19 @@
 	}
 }
 
+// active returns the number of connections with a request to answer.
+func (l *Listener) active() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	active := 0
+	for _, state := range l.busy {
+		if state == http.StateActive {
+			active++
+		}
+	}
+	return active
+}
+
 // drained returns a channel that is closed when no connection is busy.
 func (l *Listener) drained() <-chan struct{} {
 	l.mutex.Lock()
--- /dev/null
+++ b/internal/transport/server/listener_test.go
@@ -0,0 +1,69 @@
+package server_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+)
+
+// TestCloseListener guards against a planned stop that counts as failed because a client has
+// opened a connection and sent nothing, and against one that hides a request that was cut.
+func TestCloseListener(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		send   string
+		failed bool
+	}{
+		{"connection without a request", "", false},
+		{"request in progress", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			began, release := make(chan struct{}), make(chan struct{})
+			defer close(release)
+			probe, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := probe.Addr().String()
+			if err := probe.Close(); err != nil {
+				t.Fatal(err)
+			}
+			listener := &server.Listener{
+				Name: "test", Address: address, Connections: 4, Read: time.Minute, Write: time.Minute, Logger: log.New(io.Discard),
+				Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+					close(began)
+					<-release
+				}),
+			}
+			if err := listener.Run(); err != nil {
+				t.Fatal(err)
+			}
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := io.WriteString(conn, test.send); err != nil {
+				t.Fatal(err)
+			}
+			if test.send != "" {
+				<-began
+			} else {
+				time.Sleep(50 * time.Millisecond) // The server accepts the connection meanwhile.
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			err = listener.Close(ctx)
+			if got, want := err != nil, test.failed; got != want {
+				t.Errorf("failed stop: got %v (%v), want %v", got, err, want)
+			}
+		})
+	}
+}
