--- a/internal/state/recorder/writer.go
+++ b/internal/state/recorder/writer.go
@@ -50,6 +50,7 @@
 				for _, line := range w.lines.Drain(make([][]byte, 0, writerRing)) {
 					w.write(line)
 				}
+				w.write(nil) // Nothing else reports lines that were dropped at the end.
 				return
 			}
 		}
@@ -90,5 +91,8 @@
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		line = append(line, fmt.Sprintf("level=warn msg=\"log lines dropped\" lines=%d\n", dropped)...)
 	}
+	if len(line) == 0 {
+		return
+	}
 	_, _ = w.Out.Write(line) // A log that cannot be written has nowhere to report it.
 }
