Refuse calls that crash replicas, on all hosts of the platform

Cause: nothing on the platform's front end kept a call that crashes each replica which runs it from being repeated: a query over 8 shards took down all of them on its first try (11 of 16 replicas, gatherer TestCrashing) and again each time it came back; an order took down one replica a try (platform TestCrashingCalls: 502 on the third try, then no replica left). Ruled out: counting broken connections alone (resets and lost answers break them too; the replica must then accept no connections), and a canary for each new call (doubles the latency of all).

The quarantiner of the project's own interface now serves both: Evidence connects a broken exchange with a replica that is lost within 2 s and acquits calls that any replica answers; hosts share suspicions in the registry, under a lease. While nothing is known, a wide call repeats one part at a time. After a broken exchange the exchanger opens a connection at once, which tells whether the replica lives and spares the next call the handshake.

--- a/call.go
+++ b/call.go
@@ -8,6 +8,7 @@
 // Call is one request of a caller for a route.
 type Call struct {
 	ID        string // ID is chosen by the caller, who never repeats it.
+	Caller    string // Caller is the IP address of the caller.
 	Method    string
 	Authority string
 	Path      string // Path is the path without the query.
--- a/internal/coordination/gatherer/gather.go
+++ b/internal/coordination/gatherer/gather.go
@@ -15,18 +15,22 @@
 	Soft time.Time
 	// Hard is when the call ends.
 	Hard time.Time
-
-	gatherer *Gatherer
-	parts    []part
-	need     int
-	done     int
-	failed   int
-	ran      bool // ran reports that a replica may have run the call.
-	decided  bool
-	next     time.Time // next is when Tick is due; it may be earlier than anything is to be done.
-	Hedges   int       // Hedges and Retries count the sends beyond the first of each part.
-	Retries  int
-	Skipped  int // Skipped counts the parts that were not asked for.
+	// Suspicions are what the last result has told about calls that crash replicas.
+	Suspicions []wigeonspindle.Suspicion
+
+	gatherer    *Gatherer
+	fingerprint uint64
+	parts       []part
+	need        int
+	done        int
+	failed      int
+	ran         bool // ran reports that a replica may have run the call.
+	decided     bool
+	next        time.Time // next is when Tick is due; it may be earlier than anything is to be done.
+	broken      int       // broken counts the sends whose connection broke.
+	Hedges      int       // Hedges and Retries count the sends beyond the first of each part.
+	Retries     int
+	Skipped     int // Skipped counts the parts that were not asked for.
 }
 
 // Finished takes the result of a send.
@@ -40,6 +44,7 @@
 	if exchange.Response != nil && exchange.Response.Success() {
 		estimator.Observe(exchange.Took, now)
 	}
+	g.Suspicions = g.judge(sent, exchange, now)
 	if g.decided {
 		return step
 	}
@@ -68,6 +73,26 @@
 	return step
 }
 
+// judge learns from the result of a send whether calls crash replicas.
+func (g *Gather) judge(sent Send, exchange wigeonspindle.Exchange, now time.Time) []wigeonspindle.Suspicion {
+	evidence, fingerprint, replica := g.gatherer.Evidence, g.fingerprint, sent.Replica.ID
+	switch {
+	case exchange.Response != nil && exchange.Response.Success():
+		evidence.Reached(replica)
+		if cleared, ok := evidence.Answered(fingerprint, replica, now); ok {
+			return []wigeonspindle.Suspicion{cleared}
+		}
+	case exchange.Response != nil:
+		evidence.Reached(replica)
+	case exchange.Code == wigeonspindle.CodeBroken:
+		g.broken++
+		evidence.Broken(fingerprint, replica, len(g.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
+	case exchange.Code == wigeonspindle.CodeUnreachable:
+		return evidence.Lost(replica, now)
+	}
+	return nil
+}
+
 // Tick does what is due: hedges, repeated sends, the end of the call.
 func (g *Gather) Tick(now time.Time) Step {
 	var step Step
@@ -81,8 +106,10 @@
 		}
 		if !p.retry.IsZero() && !now.Before(p.retry) {
 			p.retry = time.Time{}
-			p.tried = p.tried[:0]
-			g.try(i, wigeonspindle.SendRetry, now, &step)
+			if !p.held {
+				p.tried = p.tried[:0]
+			}
+			g.again(i, now, &step)
 		}
 		if at := g.hedgeAt(p, now); !at.IsZero() && !now.Before(at) {
 			g.try(i, wigeonspindle.SendHedge, now, &step)
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -10,6 +10,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 )
@@ -45,6 +46,12 @@
 	retryPause = 5 * time.Millisecond
 	// maxSends bounds the sends for one part.
 	maxSends = 5
+	// brokenLimit is the number of broken sends of a call without any answer from which its
+	// parts are repeated one at a time, so that a call that crashes each replica does not
+	// take the second replica of every shard as well.
+	brokenLimit = 2
+	// holdFloor is the least time for which the other parts of such a call wait.
+	holdFloor = 2 * time.Millisecond
 	// retryAfter is when a caller may come again when no replica is usable, or an overload is
 	// to pass; retrySpread is added at random, so that refused callers do not return together.
 	retryAfter  = 300 * time.Millisecond
@@ -75,6 +82,8 @@
 	Selector  *selector.Selector
 	Budget    *budgeter.Budgeter
 	Throttler *throttler.Throttler
+	// Evidence holds the calls that crash replicas.
+	Evidence *quarantiner.Evidence
 
 	estimates map[string]wigeonspindle.Estimator
 	// NewEstimator returns an empty estimator.
@@ -84,7 +93,7 @@
 
 // Start begins a call of a route.
 func (g *Gatherer) Start(call *wigeonspindle.Call, route *wigeonspindle.Route, world *wigeonspindle.World, now time.Time) (*Gather, Step) {
-	gather := &Gather{Call: call, Route: route, World: world, gatherer: g}
+	gather := &Gather{Call: call, Route: route, World: world, gatherer: g, fingerprint: quarantiner.Fingerprint(call)}
 	gather.Hard = call.Arrived.Add(route.Timeout)
 	if call.Patience > 0 && call.Patience-patienceMargin < route.Timeout {
 		gather.Hard = call.Arrived.Add(call.Patience - patienceMargin)
@@ -105,6 +114,13 @@
 		gather.parts[i].pool = pool
 		g.Budget.Call(pool, now)
 	}
+	quarantine := g.Evidence.Quarantiner
+	if quarantine.State(gather.fingerprint, now) == quarantiner.Quarantined {
+		gather.decided = true
+		reply := gather.refuse(wigeonspindle.CodeQuarantined, "the call has crashed replicas")
+		reply.RetryAfter = quarantine.Expires(gather.fingerprint, now).Sub(now)
+		return gather, Step{Reply: reply}
+	}
 	if !gather.servable(now) {
 		gather.decided = true
 		return gather, Step{Reply: gather.refuse(wigeonspindle.CodeUnavailable, "too few shards have a usable replica")}
@@ -131,6 +147,22 @@
 	return gather, step
 }
 
+// Reached notes whether a replica accepts connections, and returns what that tells about calls
+// that crash replicas.
+func (g *Gatherer) Reached(replica *wigeonspindle.Replica, accepted bool, now time.Time) []wigeonspindle.Suspicion {
+	if accepted {
+		g.Evidence.Reached(replica.ID)
+		return nil
+	}
+	g.Selector.Unreachable(replica, now)
+	return g.Evidence.Lost(replica.ID, now)
+}
+
+// Suspected reports whether a suspicion still holds.
+func (g *Gatherer) Suspected(suspicion wigeonspindle.Suspicion, now time.Time) bool {
+	return g.Evidence.Quarantiner.State(suspicion.Fingerprint, now) != quarantiner.Clear
+}
+
 // expected returns the median time of a send of the call.
 func (g *Gather) expected(now time.Time) time.Duration {
 	estimate := g.gatherer.estimator(g.Route).Estimate(now)
@@ -152,8 +184,9 @@
 	return estimator
 }
 
-// Keep drops what was learned about routes, pools and replicas that are gone.
-func (g *Gatherer) Keep(world *wigeonspindle.World) {
+// Keep takes over what other hosts know and drops what was learned about routes, pools and
+// replicas that are gone.
+func (g *Gatherer) Keep(world *wigeonspindle.World, known map[string]bool, now time.Time) {
 	if world.Catalog == nil {
 		return
 	}
@@ -174,5 +207,9 @@
 	used := func(pool string) bool { _, ok := world.Catalog.Pools[pool]; return ok }
 	g.Budget.Keep(used)
 	g.Throttler.Keep(used)
-	g.Selector.Keep(world)
+	g.Selector.Keep(known)
+	g.Evidence.Keep(known)
+	for _, suspicion := range world.Suspicions {
+		g.Evidence.Quarantiner.Accept(suspicion, now)
+	}
 }
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -10,6 +10,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 )
@@ -32,6 +33,7 @@
 		Gatherer: &gatherer.Gatherer{
 			Selector:     &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(1, 2))},
 			Throttler:    &throttler.Throttler{Random: rand.New(rand.NewPCG(3, 4))},
+			Evidence:     &quarantiner.Evidence{Quarantiner: &quarantiner.Quarantiner{Size: 8}, Expiry: time.Minute},
 			Budget:       &budgeter.Budgeter{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
 		},
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
 // part is the state of one shard's part of a call, or of the whole call when one replica
@@ -19,6 +20,7 @@
 	runs     int // runs counts the replicas that may have run the call.
 	refusals int
 	retry    time.Time // retry is when a part whose replicas refused is tried again.
+	held     bool      // held reports that the part waits for another one that is repeated.
 	failed   bool
 	shed     bool // shed reports that the last failure was a refusal by a replica.
 }
@@ -29,6 +31,9 @@
 	p := &g.parts[index]
 	expected := g.expected(now)
 	replica, ok := g.gatherer.Selector.Pick(g.World, p.pool, p.tried, expected, now)
+	if p.sends > 0 && g.gatherer.Evidence.Quarantiner.State(g.fingerprint, now) == quarantiner.Quarantined {
+		ok = false
+	}
 	if ok && p.sends > 0 && (p.arrivals > 0 || len(p.inflight) > 0) {
 		ok = p.sends < maxSends && g.gatherer.Budget.Take(p.pool, len(g.World.Serving), now)
 	}
@@ -76,9 +81,33 @@
 			return
 		}
 	}
+	g.again(index, now, step)
+}
+
+// again sends a failed part once more. While nothing tells whether the call crashes replicas,
+// one part at a time is repeated and the others wait for its result.
+func (g *Gather) again(index int, now time.Time, step *Step) {
+	p := &g.parts[index]
+	p.held = g.broken >= brokenLimit && g.done == 0 && g.repeating()
+	if p.held {
+		p.retry = now.Add(max(g.expected(now)/2, holdFloor))
+		return
+	}
 	g.try(index, wigeonspindle.SendRetry, now, step)
 }
 
+// repeating reports whether a repeated send is in progress.
+func (g *Gather) repeating() bool {
+	for i := range g.parts {
+		for _, send := range g.parts[i].inflight {
+			if send.Kind != wigeonspindle.SendFirst {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // strain returns how a send went, from 0 for an answer in time to 1 for a refusal.
 func (g *Gather) strain(exchange wigeonspindle.Exchange) float64 {
 	refused := exchange.Code == wigeonspindle.CodeOverloaded || exchange.Response != nil && exchange.Response.Refused
@@ -105,7 +134,7 @@
 // hedgeAt returns when a part is sent to a second replica, or zero.
 func (g *Gather) hedgeAt(p *part, now time.Time) time.Time {
 	if g.Route.Class == wigeonspindle.Once || len(p.inflight) != 1 || p.refusals >= maxSends ||
-		p.runs+1 >= g.Route.Attempts {
+		p.runs+1 >= g.Route.Attempts || g.broken >= brokenLimit && g.done == 0 {
 		return time.Time{}
 	}
 	if g.gatherer.Budget.Fill(p.pool, len(g.World.Serving), now) >= hedgeFill ||
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -93,6 +93,11 @@
 	return q.find(fingerprint, now).state()
 }
 
+// Expires returns when a suspicion ends; zero when there is none.
+func (q *Quarantiner) Expires(fingerprint uint64, now time.Time) time.Time {
+	return q.find(fingerprint, now).expires
+}
+
 // Succeed notes that a target answered a request.
 func (q *Quarantiner) Succeed(fingerprint uint64, now time.Time) {
 	if len(q.succeeded) >= q.Successes || now.Sub(q.rotated) >= succeededPeriod {
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -80,7 +81,7 @@
 	var best *wigeonspindle.Replica
 	lowest := math.Inf(1)
 	for _, replica := range world.Replicas[pool] {
-		if !Open(world, replica) || contains(tried, replica.ID) {
+		if !Open(world, replica) || slices.Contains(tried, replica.ID) {
 			continue
 		}
 		standing := s.standing(replica.ID, now)
@@ -148,6 +149,11 @@
 	}
 }
 
+// Unreachable notes that a replica accepts no connection.
+func (s *Selector) Unreachable(replica *wigeonspindle.Replica, now time.Time) {
+	s.standing(replica.ID, now).block(now)
+}
+
 // Withdraw takes back a send that was noted and not made.
 func (s *Selector) Withdraw(id string, sent time.Time) {
 	if standing, ok := s.standings[id]; ok {
@@ -155,14 +161,8 @@
 	}
 }
 
-// Keep drops what is known about replicas that the world no longer holds.
-func (s *Selector) Keep(world *wigeonspindle.World) {
-	known := make(map[string]bool)
-	for _, replicas := range world.Replicas {
-		for _, replica := range replicas {
-			known[replica.ID] = true
-		}
-	}
+// Keep drops what is known about replicas that are not among the known ones.
+func (s *Selector) Keep(known map[string]bool) {
 	for id, standing := range s.standings {
 		if !known[id] && len(standing.sent) == 0 {
 			delete(s.standings, id)
@@ -271,12 +271,3 @@
 	}
 	st.failing *= keep
 }
-
-func contains(ids []string, id string) bool {
-	for _, known := range ids {
-		if known == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -157,14 +157,14 @@
 func TestKeep(t *testing.T) {
 	s, w := newSelector(), world()
 	observe(s, w, 0, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}, at(0))
-	s.Keep(&wigeonspindle.World{})
+	s.Keep(nil)
 	if got := picks(s, w, at(time.Millisecond))["one"]; got == 0 {
 		t.Error("picks of a replica that was forgotten and returned: got none, want some")
 	}
 	for i := range 3 { // A send in flight keeps its replica.
 		s.Sent(w, &wigeonspindle.Replica{ID: fmt.Sprint(i), Pool: "pool"}, at(0))
 	}
-	s.Keep(&wigeonspindle.World{})
+	s.Keep(nil)
 	s.Withdraw("0", at(0))
 }
 
--- a/internal/protocol/converter/relay.go
+++ b/internal/protocol/converter/relay.go
@@ -35,6 +35,9 @@
 				Name: update.Peer.Name, Caller: update.Peer.Caller, Link: update.Peer.Link, Domain: update.Peer.Domain, Capacity: update.Peer.Capacity,
 			}
 		}
+		if update.Subject == wigeonspindle.SubjectSuspicion && !update.Gone {
+			believed.Suspicion = encodeSuspicion(update.Suspicion, now)
+		}
 		encoded = append(encoded, believed)
 	}
 	return encoded, nil
@@ -44,7 +47,7 @@
 func DecodeUpdates(encoded []*messenger.Believed, now time.Time) ([]wigeonspindle.Update, error) {
 	updates := make([]wigeonspindle.Update, 0, len(encoded))
 	for _, believed := range encoded {
-		if believed.GetSubject() > uint32(wigeonspindle.SubjectPeer) {
+		if believed.GetSubject() > uint32(wigeonspindle.SubjectSuspicion) {
 			continue // A newer host may know more subjects.
 		}
 		update := wigeonspindle.Update{Subject: wigeonspindle.Subject(believed.GetSubject()), Name: believed.GetName(), Gone: believed.GetGone()}
@@ -68,6 +71,9 @@
 				Name: peer.GetName(), Caller: peer.GetCaller(), Link: peer.GetLink(), Domain: peer.GetDomain(), Capacity: peer.GetCapacity(),
 			}
 		}
+		if suspicion := believed.GetSuspicion(); suspicion != nil {
+			update.Suspicion = *decodeSuspicion(suspicion, now)
+		}
 		updates = append(updates, update)
 	}
 	return updates, nil
--- a/internal/state/registrar/changes.go
+++ b/internal/state/registrar/changes.go
@@ -72,6 +72,7 @@
 	}
 	updates = append(updates, diffDomains(before, after)...)
 	updates = append(updates, diffPeers(before, after)...)
+	updates = append(updates, diffSuspicions(before, after)...)
 	return append(updates, diffReplicas(before, after)...)
 }
 
@@ -109,6 +110,26 @@
 	return updates
 }
 
+func diffSuspicions(before, after *wigeonspindle.World) []wigeonspindle.Update {
+	var updates []wigeonspindle.Update
+	known := make(map[string]wigeonspindle.Suspicion, len(before.Suspicions))
+	for _, suspicion := range before.Suspicions {
+		known[suspicion.Name()] = suspicion
+	}
+	for _, suspicion := range after.Suspicions {
+		name := suspicion.Name()
+		previous, ok := known[name]
+		delete(known, name)
+		if !ok || previous.Points != suspicion.Points {
+			updates = append(updates, wigeonspindle.Update{Subject: wigeonspindle.SubjectSuspicion, Name: name, Suspicion: suspicion})
+		}
+	}
+	for name := range known {
+		updates = append(updates, wigeonspindle.Update{Subject: wigeonspindle.SubjectSuspicion, Name: name, Gone: true})
+	}
+	return updates
+}
+
 func diffReplicas(before, after *wigeonspindle.World) []wigeonspindle.Update {
 	var updates []wigeonspindle.Update
 	known := make(map[string]*wigeonspindle.Replica)
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -27,9 +28,11 @@
 	replicas map[string]replicaEntry
 	peers    map[string]peerEntry
 	out      map[string]bool
-	lost     bool      // lost reports that the registry does not answer.
-	trusted  time.Time // trusted is when missing entries count as gone again.
-	seen     time.Time
+	// suspicions holds what hosts reported of calls that crash replicas, by name.
+	suspicions map[string]wigeonspindle.Suspicion
+	lost       bool      // lost reports that the registry does not answer.
+	trusted    time.Time // trusted is when missing entries count as gone again.
+	seen       time.Time
 	// published is when the world was last made.
 	published time.Time
 	changes   []change // changes are the latest differences between worlds.
@@ -100,11 +103,10 @@
 			r.apply(&wigeonspindle.Update{Subject: wigeonspindle.SubjectPeer, Name: name, Gone: true}, now)
 		}
 	}
-	for domain := range r.out {
-		if !named[wigeonspindle.SubjectDomain][domain] {
-			delete(r.out, domain)
-		}
-	}
+	maps.DeleteFunc(r.out, func(domain string, _ bool) bool { return !named[wigeonspindle.SubjectDomain][domain] })
+	maps.DeleteFunc(r.suspicions, func(name string, _ wigeonspindle.Suspicion) bool {
+		return !named[wigeonspindle.SubjectSuspicion][name]
+	})
 	for i := range updates {
 		r.apply(&updates[i], now)
 	}
@@ -151,6 +153,14 @@
 		if update.Gone {
 			delete(r.out, update.Name)
 		}
+	case wigeonspindle.SubjectSuspicion:
+		if r.suspicions == nil {
+			r.suspicions = make(map[string]wigeonspindle.Suspicion)
+		}
+		r.suspicions[update.Name] = update.Suspicion
+		if update.Gone {
+			delete(r.suspicions, update.Name)
+		}
 	}
 }
 
@@ -216,6 +226,10 @@
 	for _, entry := range r.peers {
 		world.Peers = append(world.Peers, entry.peer)
 	}
+	for _, suspicion := range r.suspicions {
+		world.Suspicions = append(world.Suspicions, suspicion)
+	}
+	slices.SortFunc(world.Suspicions, func(a, b wigeonspindle.Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	slices.SortFunc(world.Peers, func(a, b wigeonspindle.Peer) int { return strings.Compare(a.Name, b.Name) })
 	world.Serving = world.Peers
 	if r.Serving != nil {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -42,6 +42,10 @@
 	freshIdle = time.Second
 	// knowledgeLimit is the age of the beliefs from which an unknown route may be a new one.
 	knowledgeLimit = 3 * time.Second
+	// shareDelay is how long a suspicion waits for an answer from another replica before the
+	// other hosts are told. A call that was running on a replica that crashed for another
+	// reason is answered by then.
+	shareDelay = 500 * time.Millisecond
 	// unknownRetry is when a caller may ask again for a route that may be new.
 	unknownRetry = 500 * time.Millisecond
 )
@@ -54,6 +58,8 @@
 	Clock    wigeonspindle.Clock
 	Meter    wigeonspindle.CallMeter
 	Logger   *log.Logger
+	// Report shares a suspicion with the other hosts. It must not block.
+	Report func(suspicion wigeonspindle.Suspicion)
 
 	calls   *queuer.Ring[*pending]
 	cancels *queuer.Ring[*pending]
@@ -94,7 +100,9 @@
 	d.events = queuer.New[exchanger.Event](eventRing)
 	d.stop = make(chan struct{})
 	d.world = &wigeonspindle.World{}
-	d.pool = &exchanger.Pool{Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, Done: d.finished}
+	d.pool = &exchanger.Pool{
+		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, Done: d.finished, Reached: d.reached,
+	}
 	d.done.Add(1)
 	go func() {
 		defer d.done.Done()
@@ -167,14 +175,9 @@
 	own := func(peer wigeonspindle.Peer) bool { return peer.Name == d.Host }
 	// A host that stops, or whose entry has lapsed, is not listed and still has callers.
 	d.serving = slices.ContainsFunc(world.Serving, own) || !slices.ContainsFunc(world.Peers, own)
-	d.Gatherer.Keep(world)
-	known := make(map[string]bool)
-	for _, replicas := range world.Replicas {
-		for _, replica := range replicas {
-			known[replica.ID] = true
-		}
-	}
-	d.pool.Keep(func(id string) bool { return known[id] })
+	known := world.ReplicaIDs()
+	d.Gatherer.Keep(world, known, d.Clock.Now())
+	d.pool.Keep(known)
 	if d.serving && world.Catalog != nil {
 		d.prepare(world)
 	}
@@ -303,6 +306,7 @@
 	d.logExchange(p, k.send, exchange, err)
 	decided := p.gather.Decided()
 	step := p.gather.Finished(k.send, exchange, now)
+	d.suspect(p.gather.Suspicions, now)
 	if !decided {
 		d.perform(p, step, now)
 		return
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -92,6 +92,7 @@
 	pool    *exchanger.Pool
 	events  *queuer.Ring[exchanger.Event]
 	results map[string]wigeonspindle.Exchange
+	reached []bool // reached holds what the pool told about the replica.
 	replica *wigeonspindle.Replica
 }
 
@@ -104,7 +105,8 @@
 	stop := make(chan struct{})
 	b.pool = &exchanger.Pool{
 		Dialect: dialect{}, Clock: timekeeper.System{}, Events: b.events, Stop: stop,
-		Done: func(job *exchanger.Job, exchange wigeonspindle.Exchange, _ error) { b.results[job.Call.ID] = exchange },
+		Done:    func(job *exchanger.Job, exchange wigeonspindle.Exchange, _ error) { b.results[job.Call.ID] = exchange },
+		Reached: func(_ *wigeonspindle.Replica, accepted bool) { b.reached = append(b.reached, accepted) },
 	}
 	t.Cleanup(func() {
 		close(stop)
@@ -293,7 +295,7 @@
 	b := newBench(t, server.listener.Addr().String())
 	b.send("one", 4)
 	b.wait(t, "one")
-	b.pool.Keep(func(string) bool { return false })
+	b.pool.Keep(nil)
 	if got, want := b.pool.Size(), 0; got != want {
 		t.Errorf("connections: got %d, want %d", got, want)
 	}
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -16,6 +16,8 @@
 	Stop    <-chan struct{}
 	// Done receives each job with its result.
 	Done func(job *Job, exchange wigeonspindle.Exchange, err error)
+	// Reached receives whether a replica accepted a connection, unless a job has told it.
+	Reached func(replica *wigeonspindle.Replica, accepted bool)
 
 	lines  map[string]*line
 	ending map[*Connection]bool // ending holds the aborted connections that were idle.
@@ -81,10 +83,10 @@
 	}
 }
 
-// Keep closes the idle connections to replicas that are gone.
-func (p *Pool) Keep(known func(id string) bool) {
+// Keep closes the idle connections to replicas that are not among the known ones.
+func (p *Pool) Keep(known map[string]bool) {
 	for id, l := range p.lines {
-		l.closed = !known(id)
+		l.closed = !known[id]
 		if !l.closed {
 			continue
 		}
@@ -145,6 +147,7 @@
 	switch {
 	case event.Opened:
 		delete(l.opening, connection)
+		p.Reached(connection.Replica, true)
 		p.release(l, connection)
 	case event.Job != nil:
 		p.finish(l, event)
@@ -161,6 +164,9 @@
 	if known && !event.Closed && event.Exchange.Response != nil {
 		p.release(l, connection)
 	}
+	if event.Exchange.Code == wigeonspindle.CodeBroken && l.size() == 0 && !l.closed {
+		p.open(l, connection.Replica) // It tells whether the replica still lives.
+	}
 	p.Done(event.Job, event.Exchange, event.Err)
 }
 
@@ -182,6 +188,9 @@
 		return
 	}
 	delete(l.opening, connection)
+	if len(l.waiting) <= len(l.opening) {
+		p.Reached(connection.Replica, false)
+	}
 	for len(l.waiting) > len(l.opening) {
 		job := l.waiting[0]
 		l.waiting = l.waiting[1:]
--- a/internal/transport/sharer/sharer_test.go
+++ b/internal/transport/sharer/sharer_test.go
@@ -40,6 +40,9 @@
 	return server, address
 }
 
+// suspicion is what a host reported of a call that crashes replicas.
+var suspicion = wigeonspindle.Suspicion{Fingerprint: 12, Points: 1.5, Target: "i", Expires: time.Now().Add(time.Hour)}
+
 func updates() []wigeonspindle.Update {
 	return []wigeonspindle.Update{
 		{Subject: wigeonspindle.SubjectCatalog, Catalog: &wigeonspindle.Catalog{Version: 7, Routes: []wigeonspindle.Route{{Name: "r", Shards: []string{"p"}, Aim: time.Second}}}},
@@ -48,6 +51,7 @@
 		}},
 		{Subject: wigeonspindle.SubjectPeer, Name: "h", Peer: wigeonspindle.Peer{Name: "h", Caller: "c", Link: "l", Domain: "a", Capacity: 0.5}},
 		{Subject: wigeonspindle.SubjectDomain, Name: "b"},
+		{Subject: wigeonspindle.SubjectSuspicion, Name: suspicion.Name(), Suspicion: suspicion},
 	}
 }
 
@@ -82,6 +86,9 @@
 	if got := world.Replicas["p"][0]; got.Born != 5 || got.Slots != 2 || time.Until(got.WarmAt) < 50*time.Minute {
 		t.Errorf("replica: got %+v, want the one that the other host knows", got)
 	}
+	if got := world.Suspicions; len(got) != 1 || got[0].Fingerprint != 12 || got[0].Points != 1.5 || time.Until(got[0].Expires) < 50*time.Minute {
+		t.Errorf("suspicions: got %+v, want %+v", got, suspicion)
+	}
 	go r.Apply(wigeonspindle.Batch{Updates: []wigeonspindle.Update{{Subject: wigeonspindle.SubjectReplica, Name: "i", Gone: true}}}, time.Now())
 	changes, err := client.Follow(ctx, batch.Revision, patience)
 	if err != nil {
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -17,6 +17,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/parser"
@@ -33,6 +34,11 @@
 	// returnPeriod is how long after an outage of the registry missing entries are believed
 	// to be on their way back: replicas enter themselves again within about two seconds.
 	returnPeriod = 2200 * time.Millisecond
+	// suspicionPeriod is how long a call that crashed replicas is refused after its last crash;
+	// the registry's leases last no longer.
+	suspicionPeriod = 10 * time.Minute
+	// suspects bounds the calls that a host suspects.
+	suspects = 1024
 	// finishPeriod is the end of the grace period that is left for the last calls.
 	finishPeriod = 800 * time.Millisecond
 	// exitMargin is the time kept between the last answer and the end of the grace period.
@@ -71,6 +77,7 @@
 	watcher    *watcher.Watcher
 	sharer     *sharer.Server
 	announcer  *watcher.Announcer
+	reporter   *watcher.Reporter
 	listeners  []*server.Listener // listeners begin with the one for callers.
 	leaving    atomic.Bool
 	turn       atomic.Uint64
@@ -81,14 +88,17 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	meter := administrator.NewCallMeter()
 	s.registrar = &registrar.Registrar{Return: returnPeriod, Serving: balancer.Serving}
+	s.reporter = &watcher.Reporter{Registry: s.Registry, Clock: s.Clock, Logger: s.Logger}
 	s.dispatcher = &dispatcher.Dispatcher{
 		Gatherer: &gatherer.Gatherer{
 			Selector:     &selector.Selector{Domain: s.Settings.Domain, Random: random},
 			Throttler:    &throttler.Throttler{Random: random},
+			Evidence:     &quarantiner.Evidence{Quarantiner: &quarantiner.Quarantiner{Size: suspects}, Expiry: suspicionPeriod},
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.Ratio, Slack: s.Settings.Slack, Window: s.Settings.Window.Value()},
 			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
 		},
 		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
+		Report: s.reporter.Offer,
 	}
 	s.watcher = &watcher.Watcher{
 		Host: s.Settings.Name, Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
@@ -104,13 +114,16 @@
 		},
 	}
 	s.turn.Store(random.Uint64())
+	s.reporter.Run()
 	s.dispatcher.Run()
 	if err := s.listen(meter); err != nil {
 		s.dispatcher.Close()
+		s.reporter.Close()
 		return err
 	}
 	if err := s.sharer.Run(); err != nil {
 		s.dispatcher.Close()
+		s.reporter.Close()
 		return errors.CombineErrors(err, s.closeListeners(context.Background()))
 	}
 	s.watcher.Run()
@@ -152,6 +165,7 @@
 	s.watcher.Close()
 	s.sharer.Close()
 	s.dispatcher.Close()
+	s.reporter.Close()
 	s.Logger.Info("host stopped")
 	return err
 }
--- /dev/null
+++ b/internal/transport/watcher/reporter.go
@@ -0,0 +1,80 @@
+package watcher
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
+)
+
+const (
+	// reportRing bounds the suspicions that wait to be entered. Requests that crash replicas
+	// are rare; when many replicas crash at once, a few dozen calls are suspected.
+	reportRing = 64
+	// reportTries bounds the tries to enter one suspicion.
+	reportTries = 3
+)
+
+// Reporter enters suspicions in the registry, so that all hosts learn of them.
+type Reporter struct {
+	Registry wigeonspindle.Registry
+	Clock    wigeonspindle.Clock
+	Logger   *log.Logger
+
+	suspicions *queuer.Ring[wigeonspindle.Suspicion]
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// Run starts the duty.
+func (r *Reporter) Run() {
+	r.suspicions = queuer.New[wigeonspindle.Suspicion](reportRing)
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	r.done.Add(1)
+	go func() {
+		defer r.done.Done()
+		for {
+			select {
+			case suspicion := <-r.suspicions.C():
+				r.report(ctx, suspicion)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Close ends the duty and waits for it.
+func (r *Reporter) Close() {
+	r.cancel()
+	r.done.Wait()
+}
+
+// Offer hands over a suspicion. It never blocks; one that finds no room is logged and dropped,
+// because each host finds the same by itself after further crashes.
+func (r *Reporter) Offer(suspicion wigeonspindle.Suspicion) {
+	if !r.suspicions.Offer(suspicion) {
+		r.Logger.Warn("suspicion not shared", "fingerprint", suspicion.Name(), "error", "too many wait")
+	}
+}
+
+func (r *Reporter) report(ctx context.Context, suspicion wigeonspindle.Suspicion) {
+	for range reportTries {
+		err := r.enter(ctx, suspicion)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		r.Logger.Warn("suspicion not shared", "fingerprint", suspicion.Name(), "error", err)
+		sleep(ctx, retryPeriod)
+	}
+}
+
+func (r *Reporter) enter(ctx context.Context, suspicion wigeonspindle.Suspicion) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Registry.Report(ctx, suspicion, r.Clock.Now())
+}
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -224,6 +224,9 @@
 			w.Logger.Warn("failure domain", "domain", update.Name, "out", !update.Gone, "source", w.source(), "revision", w.revision)
 		case wigeonspindle.SubjectPeer:
 			w.Logger.Info("peer", "peer", update.Name, "gone", update.Gone, "source", w.source(), "revision", w.revision)
+		case wigeonspindle.SubjectSuspicion:
+			w.Logger.Warn("suspicion of a host", "fingerprint", update.Name, "gone", update.Gone, "points", update.Suspicion.Points,
+				"replica", update.Suspicion.Target, "source", w.source(), "revision", w.revision)
 		case wigeonspindle.SubjectReplica:
 			fields := []any{"replica", update.Name, "gone", update.Gone, "source", w.source(), "revision", w.revision}
 			if replica := update.Replica; replica != nil {
--- a/lease.go
+++ b/lease.go
@@ -1,6 +1,9 @@
 package wigeonspindle
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Claim asks the voters for leases on targets or renews them. It is one batch per
 // holder.
@@ -84,3 +87,6 @@
 	// Cleared reports that a suspect completed alone on a target.
 	Cleared bool
 }
+
+// Name returns the name under which hosts share the suspicion.
+func (s Suspicion) Name() string { return fmt.Sprintf("%016x", s.Fingerprint) }
--- a/registry.go
+++ b/registry.go
@@ -31,6 +31,8 @@
 	Announce(ctx context.Context, peer Peer, lease time.Duration) (uint64, error)
 	// Renew prolongs a lease. It returns ErrLapsed when the lease has ended.
 	Renew(ctx context.Context, lease uint64) error
+	// Report enters a suspicion until it expires, or removes it when it is cleared.
+	Report(ctx context.Context, suspicion Suspicion, now time.Time) error
 	// Withdraw ends a lease and removes what was entered with it.
 	Withdraw(ctx context.Context, lease uint64) error
 }
--- a/replica.go
+++ b/replica.go
@@ -33,7 +33,20 @@
 	Out      map[string]bool       // Out holds the failure domains that receive no new work.
 	Peers    []Peer                // Peers are sorted by name and include the host itself.
 	Serving  []Peer                // Serving are the peers to which callers are sent.
-	Seen     time.Time             // Seen is when the registry last answered.
+	// Suspicions are what other hosts know of calls that crash replicas.
+	Suspicions []Suspicion
+	Seen       time.Time // Seen is when the registry last answered.
+}
+
+// ReplicaIDs returns the IDs of all replicas.
+func (w *World) ReplicaIDs() map[string]bool {
+	ids := make(map[string]bool)
+	for _, replicas := range w.Replicas {
+		for _, replica := range replicas {
+			ids[replica.ID] = true
+		}
+	}
+	return ids
 }
 
 // Subject says what an update is about.
@@ -46,16 +59,19 @@
 	SubjectReplica
 	SubjectDomain // SubjectDomain is a failure domain that is out of service.
 	SubjectPeer
+	SubjectSuspicion // SubjectSuspicion is a call that may crash replicas.
 )
 
 // Update is one entry of the registry, or its removal.
 type Update struct {
 	Subject Subject
-	Name    string // Name is the replica's ID or the name of the domain or host.
+	Name    string // Name is the replica's ID, the name of the domain or host, or that of a suspicion.
 	Gone    bool   // Gone reports that the entry was removed.
 	Catalog *Catalog
 	Replica *Replica // Replica is nil in an entry that names no usable replica.
 	Peer    Peer
+	// Suspicion is set in the entry of a call that may crash replicas.
+	Suspicion Suspicion
 }
 
 // Batch holds entries of the registry, or changes of them.
