Soak: faults through proxies, overlapping, with callers during planned stops; hosts get addresses of their own

The test picked ports at random one after the other and released each at once, so that two listeners of a run could get the same one; a host finds it taken when it starts after the other. Ruled out: a late end of the killed process or its connections (795 and 797 kills and restarts under load, with and without multipath TCP, no failure).

Each host has a loopback address of its own now, so neither another host, another soak nor an outgoing connection can take its ports.

The soak gains proxies before replicas, the store of each host and the links between hosts (reset, silent for good, cut in one direction or both, slow), lapsing entries, configurations and signals in series, two faults at a time; it also checks that an answer has as many records as the parts that it names, and that a request which a replica ran is answered during a planned stop. A failed run prints its faults. The link listener of a host may stand behind another address (setting listen), as on the project's own interface.

--- a/internal/protocol/parser/gateway.go
+++ b/internal/protocol/parser/gateway.go
@@ -21,6 +21,9 @@
 	Ready     string `json:"ready" validate:"required,hostport"`
 	Metrics   string `json:"metrics" validate:"required,hostport"`
 	Link      string `json:"link" validate:"required,hostport"`
+	// Listen is where the listener for other hosts listens when that is not Link, for example
+	// behind a port that the machine forwards.
+	Listen string `json:"listen,omitempty" validate:"omitempty,hostport"`
 	// Store is the address of the key-value service.
 	Store string `json:"store" validate:"required,hostport"`
 	// Grace is the time between the signal to stop and the kill.
@@ -43,6 +46,14 @@
 // Capacity returns the processor that the process may use, in cores.
 func (g Gateway) Capacity() float64 { return g.Share * g.Cores }
 
+// LinkListener returns the address on which the host listens for other hosts.
+func (g Gateway) LinkListener() string {
+	if g.Listen != "" {
+		return g.Listen
+	}
+	return g.Link
+}
+
 // LoadGateway reads and checks the settings file of a host on the platform.
 func LoadGateway(path string) (Gateway, error) {
 	data, err := os.ReadFile(path)
--- a/internal/transport/simulator/loopback.go
+++ b/internal/transport/simulator/loopback.go
@@ -9,11 +9,15 @@
 )
 
 // Loopback returns a loopback address with port 0 that other processes do not listen on.
-// Ports are then taken neither by their listeners nor by outgoing connections, which use
-// 127.0.0.1, while a target is down or before a host listens on a port chosen for it.
-func Loopback() string {
+func Loopback() string { return LoopbackIP(1) + ":0" }
+
+// LoopbackIP returns a loopback address that other processes do not listen on, one for each
+// number from 1 to 254. Ports are then taken neither by their listeners nor by outgoing
+// connections, which use 127.0.0.1, while a target is down or before a host listens on a port
+// chosen for it.
+func LoopbackIP(number int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1:0", 1+(pid>>8)%254, pid%256)
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, pid%256, number)
 }
 
 // FreeAddresses returns distinct loopback addresses that no listener uses.
--- a/internal/transport/simulator/proxy.go
+++ b/internal/transport/simulator/proxy.go
@@ -1,26 +1,52 @@
 package simulator
 
 import (
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// Proxy passes the bytes of connections on and cuts them on demand.
+// chunkSize is the number of bytes that a proxy passes on at once.
+const chunkSize = 16 << 10
+
+// Way is a set of directions through a proxy.
+type Way uint32
+
+// Directions through a proxy: Forth from who connects to the target, Back the other way.
+const (
+	Forth Way = 1 << iota
+	Back
+)
+
+// Proxy passes the bytes of connections on, and cuts, silences or delays them on demand.
 type Proxy struct {
 	Target string // Target is the address to connect to.
+	Listen string // Listen is the address to listen on; empty chooses a loopback address.
 
 	listener net.Listener
+	delay    atomic.Int64  // delay is the time for which bytes are held, in nanoseconds.
+	blocked  atomic.Uint32 // blocked holds the directions in which no connection passes bytes.
 	mutex    sync.Mutex
-	conns    []net.Conn
+	lines    []*proxyLine
 	waiting  sync.WaitGroup
 }
 
+// proxyLine is one connection through a proxy.
+type proxyLine struct {
+	near, far net.Conn
+	silent    atomic.Uint32 // silent holds the directions in which bytes are swallowed for good.
+}
+
 // Run listens on a loopback address and starts passing connections on.
 func (p *Proxy) Run() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address := p.Listen
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen for connections to pass on")
 	}
@@ -32,17 +58,35 @@
 // Address returns the address of the proxy.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Cut breaks all connections, with the bytes that are under way.
+// Cut resets all connections, with the bytes that are under way.
 func (p *Proxy) Cut() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
+	for _, line := range p.lines {
+		for _, conn := range []net.Conn{line.near, line.far} {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
 	}
-	p.conns = nil
+	p.lines = nil
 }
 
+// Silence makes the open connections swallow bytes for good; new connections work.
+func (p *Proxy) Silence(way Way) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, line := range p.lines {
+		line.silent.Or(uint32(way))
+	}
+}
+
+// Block makes all connections, also new ones, swallow bytes until Block is called again; 0
+// lets all bytes pass.
+func (p *Proxy) Block(way Way) { p.blocked.Store(uint32(way)) }
+
+// Delay sets the time for which all bytes are held.
+func (p *Proxy) Delay(delay time.Duration) { p.delay.Store(int64(delay)) }
+
 // Close stops listening, breaks all connections and waits for their end.
 func (p *Proxy) Close() error {
 	err := p.listener.Close()
@@ -62,16 +106,46 @@
 			_ = near.Close()
 			continue
 		}
+		line := &proxyLine{near: near, far: far}
 		p.mutex.Lock()
-		p.conns = append(p.conns, near, far)
+		p.lines = append(p.lines, line)
 		p.mutex.Unlock()
-		p.waiting.Go(func() { pass(near, far) })
-		p.waiting.Go(func() { pass(far, near) })
+		p.waiting.Go(func() { p.pass(line, far, near, Forth) })
+		p.waiting.Go(func() { p.pass(line, near, far, Back) })
 	}
 }
 
-func pass(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
-	_ = to.Close()
-	_ = from.Close()
+// pass copies one direction of a connection until either end closes it.
+func (p *Proxy) pass(line *proxyLine, to, from net.Conn, way Way) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+		p.forget(line)
+	}()
+	buffer := make([]byte, chunkSize)
+	for {
+		n, err := from.Read(buffer)
+		if delay := time.Duration(p.delay.Load()); delay > 0 {
+			time.Sleep(delay)
+		}
+		if (line.silent.Load()|p.blocked.Load())&uint32(way) == 0 && n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *Proxy) forget(line *proxyLine) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for i, known := range p.lines {
+		if known == line {
+			p.lines = append(p.lines[:i], p.lines[i+1:]...)
+			return
+		}
+	}
 }
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -110,7 +110,7 @@
 		Relays: balancer.Relays, Changed: s.dispatcher.Update,
 	}
 	s.sharer = &sharer.Server{
-		Address: s.Settings.Link, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
+		Address: s.Settings.LinkListener(), Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
 	}
 	s.announcer = &watcher.Announcer{
 		Registry: s.Registry, Logger: s.Logger, Ready: s.Ready,
