dispatcher: a shared suspicion does not leave a timer that is always due

Cause: timers fire in every turn until they are moved or removed, and the one that shares a suspicion after half a second was not.

--- a/internal/state/scheduler/timers.go
+++ b/internal/state/scheduler/timers.go
@@ -43,13 +43,22 @@
 	return last
 }
 
-// Add starts a timer.
+// Add starts a timer. It fires in every turn from its time on until it is moved or removed.
 func (t *Timers) Add(at time.Time, fire func(now time.Time)) *Timer {
 	added := &Timer{at: at, fire: fire}
 	heap.Push(t, added)
 	return added
 }
 
+// Once starts a timer that fires once and is removed.
+func (t *Timers) Once(at time.Time, fire func(now time.Time)) {
+	var added *Timer
+	added = t.Add(at, func(now time.Time) {
+		t.Remove(added)
+		fire(now)
+	})
+}
+
 // Move changes the time of a timer.
 func (t *Timers) Move(moved *Timer, at time.Time) {
 	if !moved.at.Equal(at) {
--- /dev/null
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -0,0 +1,133 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
+	"wigeonspindle.example/wigeonspindle/internal/transport/dispatcher"
+)
+
+// patience bounds what a correct dispatcher does soon.
+const patience = 10 * time.Second
+
+// countingClock counts how often the time is asked for.
+type countingClock struct{ asked atomic.Int64 }
+
+func (c *countingClock) Now() time.Time {
+	c.asked.Add(1)
+	return time.Now()
+}
+
+// dialect writes the method and the location of a call.
+type dialect struct{}
+
+func (dialect) Request(buffer []byte, call *wigeonspindle.Call, _ *wigeonspindle.Replica, _ time.Duration) []byte {
+	return append(buffer, call.Method+" "+call.Location+" HTTP/1.1\r\nHost: h\r\n\r\n"...)
+}
+
+func (dialect) Response(response *http.Response, body []byte) *wigeonspindle.Response {
+	return &wigeonspindle.Response{Status: response.StatusCode, Body: body, Seal: response.Header.Get("Seal")}
+}
+
+// meter drops the measurements.
+type meter struct{}
+
+func (meter) Replied(string, string, time.Duration) {}
+func (meter) Covered(string, int, int)              {}
+func (meter) Sent(string, wigeonspindle.SendKind)   {}
+
+// crashingTarget ends with the first request that it reads.
+func crashingTarget(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					_ = listener.Close()
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestSuspicionEnds guards against a dispatcher that spins after it has shared a suspicion.
+func TestSuspicionEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	clock := &countingClock{}
+	reports := make(chan wigeonspindle.Suspicion, 8)
+	d := &dispatcher.Dispatcher{
+		Host: "h", Clock: clock, Dialect: dialect{}, Meter: meter{}, Logger: log.New(io.Discard),
+		Report: func(suspicion wigeonspindle.Suspicion) {
+			select {
+			case reports <- suspicion:
+			default: // One is enough.
+			}
+		},
+		Gatherer: &gatherer.Gatherer{
+			Selector:     &selector.Selector{Host: "h", Domain: "a", Random: random},
+			Throttler:    &throttler.Throttler{Random: random},
+			Evidence:     &quarantiner.Evidence{Quarantiner: &quarantiner.Quarantiner{Size: 8}, Expiry: time.Minute},
+			Budget:       &budgeter.Budgeter{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+			NewEstimator: func() wigeonspindle.Estimator { return &hedger.Estimator{} },
+		},
+	}
+	d.Run()
+	defer d.Close()
+	d.Update(&wigeonspindle.World{
+		Seen: time.Now(),
+		Catalog: &wigeonspindle.Catalog{
+			Version: 1, Pools: map[string]wigeonspindle.Pool{"pool": {Name: "pool", Connections: 10}},
+			Routes: []wigeonspindle.Route{{
+				Name: "order", Authority: "h", Prefix: "/", Class: wigeonspindle.Once, Timeout: time.Second, Aim: time.Second,
+				Attempts: 2, Split: []wigeonspindle.Share{{Pool: "pool", Weight: 1}},
+			}},
+		},
+		Replicas: map[string][]*wigeonspindle.Replica{"pool": {{ID: "r", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2}}},
+	})
+	var reply wigeonspindle.CallReply
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		call := &wigeonspindle.Call{ID: "c", Method: http.MethodPost, Authority: "h", Path: "/x", Location: "/x", Arrived: time.Now()}
+		if reply = d.Handle(context.Background(), call); reply.Refusal != nil && reply.Refusal.Verdict == wigeonspindle.MayHaveRun {
+			break // The beliefs have arrived, and the replica has crashed.
+		}
+	}
+	select {
+	case <-reports:
+	case <-time.After(patience):
+		t.Fatalf("suspicion after %+v: got none, want one", reply.Refusal)
+	}
+	before := clock.asked.Load()
+	time.Sleep(100 * time.Millisecond)
+	if got, most := clock.asked.Load()-before, int64(1000); got > most {
+		t.Errorf("times that an idle dispatcher asked for the time in 100 ms: got %d, want at most %d", got, most)
+	}
+}
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -23,7 +23,7 @@
 			d.Report(suspicion)
 			continue
 		}
-		d.timers.Add(now.Add(shareDelay), func(now time.Time) {
+		d.timers.Once(now.Add(shareDelay), func(now time.Time) {
 			if d.Gatherer.Suspected(suspicion, now) {
 				d.Report(suspicion)
 			}
