--- a/internal/transport/linker/linker.go
+++ b/internal/transport/linker/linker.go
@@ -12,10 +12,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/converter"
@@ -66,7 +64,7 @@
 	if err := messenger.DRPCRegisterLink(mux, &acceptor{linker: l}); err != nil {
 		return errors.Wrap(err, "register link service")
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: messenger.Options()})
 	l.waiting.Add(1)
 	go func() {
 		defer l.waiting.Done()
@@ -160,14 +158,6 @@
 	return converter.Encode(envelope, l.Clock.Now())
 }
 
-// maxMessage bounds one message. The configuration of 13,000 targets takes 2.3 MB, which is
-// too near the 4 MB that drpc allows by default.
-const maxMessage = 16 << 20
-
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
-}
-
 // Pauses between attempts to open a link.
 const (
 	redialDelay = 200 * time.Millisecond
--- a/internal/transport/linker/peer.go
+++ b/internal/transport/linker/peer.go
@@ -63,7 +63,7 @@
 		}
 		return false, errors.Wrapf(err, "dial host %s", p.name)
 	}
-	conn := drpcconn.NewWithOptions(&guardedConn{Conn: socket, written: &p.linker.written}, drpcconn.Options{Manager: managerOptions()})
+	conn := drpcconn.NewWithOptions(&guardedConn{Conn: socket, written: &p.linker.written}, drpcconn.Options{Manager: messenger.Options()})
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/transport/sharer/client.go
+++ b/internal/transport/sharer/client.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return wigeonspindle.Batch{}, errors.Wrapf(err, "dial host %s", c.Peer.Name)
 		}
-		c.conn = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+		c.conn = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: messenger.Options()})
 	}
 	reply, err := messenger.NewDRPCRelayClient(c.conn).Follow(ctx, request)
 	if err != nil {
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -11,10 +11,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/netutil"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/converter"
@@ -30,8 +28,6 @@
 	maxWait = 10 * time.Second
 	// maxFollowers bounds the connections of hosts that follow this one.
 	maxFollowers = 256
-	// maxMessage bounds one message, in bytes. The beliefs about 13,000 replicas take 1.5 MB.
-	maxMessage = 16 << 20
 )
 
 // errUninformed is returned by a host that does not know enough to be followed.
@@ -62,7 +58,7 @@
 	}
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: messenger.Options()})
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
@@ -122,7 +118,3 @@
 		}
 	}
 }
-
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
-}
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,28 +27,22 @@
 	// Ready reports whether the host serves calls, so that callers may be sent to it.
 	Ready func() bool
 
-	lease  uint64
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	lease uint64
+	duty
 }
 
 // Run starts the duty.
 func (a *Announcer) Run() {
-	var ctx context.Context
-	ctx, a.cancel = context.WithCancel(context.Background())
-	a.done.Add(1)
-	go func() {
-		defer a.done.Done()
+	a.start(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			sleep(ctx, a.step(ctx))
 		}
-	}()
+	})
 }
 
 // Close withdraws the entry and waits for the duty.
 func (a *Announcer) Close() {
-	a.cancel()
-	a.done.Wait()
+	a.duty.Close()
 	if a.lease == 0 {
 		return
 	}
--- a/internal/transport/watcher/reporter.go
+++ b/internal/transport/watcher/reporter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/charmbracelet/log"
 
@@ -25,18 +24,13 @@
 	Logger   *log.Logger
 
 	suspicions *queuer.Ring[wigeonspindle.Suspicion]
-	cancel     context.CancelFunc
-	done       sync.WaitGroup
+	duty
 }
 
 // Run starts the duty.
 func (r *Reporter) Run() {
 	r.suspicions = queuer.New[wigeonspindle.Suspicion](reportRing)
-	var ctx context.Context
-	ctx, r.cancel = context.WithCancel(context.Background())
-	r.done.Add(1)
-	go func() {
-		defer r.done.Done()
+	r.start(func(ctx context.Context) {
 		for {
 			select {
 			case suspicion := <-r.suspicions.C():
@@ -45,13 +39,7 @@
 				return
 			}
 		}
-	}()
-}
-
-// Close ends the duty and waits for it.
-func (r *Reporter) Close() {
-	r.cancel()
-	r.done.Wait()
+	})
 }
 
 // Offer hands over a suspicion. It never blocks; one that finds no room is logged and dropped,
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -62,29 +61,18 @@
 	listed   bool
 	since    time.Time // since is when the registry stopped answering.
 	failures int       // failures counts the failed calls to the registry in a row.
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	duty
 }
 
 // Run starts the duty.
 func (w *Watcher) Run() {
 	w.avoided = make(map[string]time.Time)
-	var ctx context.Context
-	ctx, w.cancel = context.WithCancel(context.Background())
-	w.done.Add(1)
-	go func() {
-		defer w.done.Done()
+	w.start(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			sleep(ctx, w.step(ctx))
 		}
 		w.follow(nil)
-	}()
-}
-
-// Close ends the duty and waits for it.
-func (w *Watcher) Close() {
-	w.cancel()
-	w.done.Wait()
+	})
 }
 
 // step makes one call and returns the time until the next one.
@@ -237,13 +225,3 @@
 		}
 	}
 }
-
-// sleep waits for a period or the end of ctx.
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
