--- /dev/null
+++ b/internal/transport/watcher/reporter_test.go
@@ -0,0 +1,88 @@
+package watcher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/goleak"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
+	"wigeonspindle.example/wigeonspindle/internal/transport/watcher"
+)
+
+// patience bounds what a correct duty does soon.
+const patience = 10 * time.Second
+
+// registry takes reports and fails or hangs on demand.
+type registry struct {
+	wigeonspindle.Registry
+	mutex    sync.Mutex
+	failures int // failures is the number of reports that fail.
+	hangs    bool
+	reported chan wigeonspindle.Suspicion
+}
+
+func (r *registry) Report(ctx context.Context, suspicion wigeonspindle.Suspicion, _ time.Time) error {
+	if r.hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.failures > 0 {
+		r.failures--
+		return errors.New("the registry does not answer")
+	}
+	r.reported <- suspicion
+	return nil
+}
+
+func newReporter(r *registry) *watcher.Reporter {
+	return &watcher.Reporter{Registry: r, Clock: timekeeper.System{}, Logger: log.New(io.Discard)}
+}
+
+// TestReporter guards against a suspicion that is lost because the registry failed once.
+func TestReporter(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	r := &registry{failures: 1, reported: make(chan wigeonspindle.Suspicion, 1)}
+	reporter := newReporter(r)
+	reporter.Run()
+	defer reporter.Close()
+	want := wigeonspindle.Suspicion{Fingerprint: 7, Points: 1}
+	reporter.Offer(want)
+	select {
+	case got := <-r.reported:
+		if got != want {
+			t.Errorf("report: got %+v, want %+v", got, want)
+		}
+	case <-time.After(patience):
+		t.Error("report after a failure: got none, want one")
+	}
+}
+
+// TestReporterHangs guards against a dispatcher that waits for a registry without an answer,
+// and against a stop that does.
+func TestReporterHangs(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	reporter := newReporter(&registry{hangs: true})
+	reporter.Run()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range uint64(1000) {
+			reporter.Offer(wigeonspindle.Suspicion{Fingerprint: i})
+		}
+		reporter.Close()
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Error("reports to a registry that hangs: got blocked, want them dropped")
+	}
+}
