--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -25,6 +25,9 @@
 	// the callers measure 3 ms more than the host and the way take.
 	replyMargin = 5 * time.Millisecond
 	replyShare  = 0.03
+	// waitedShare is the part of the objective that a caller may have waited for the host to
+	// answer earlier. Callers who come back after a refusal have waited longer.
+	waitedShare = 0.5
 	// patienceMargin is kept for the same before the caller stops waiting.
 	patienceMargin = 3 * time.Millisecond
 	// hedgeFactor is the age, in median times, at which a send counts as late. Times of
@@ -157,7 +160,8 @@
 }
 
 // waited returns how long the caller of a call has waited for its objective already. A caller
-// whose objective has passed gets what others get.
+// who has waited for longer than waitedShare of it cannot be served in time by a host that
+// hurries, and gets what others get.
 func (g *Gatherer) waited(call *wigeonspindle.Call, route *wigeonspindle.Route, now time.Time) time.Duration {
 	if call.Patience == 0 {
 		return call.Opening
@@ -170,7 +174,7 @@
 		known = &patience{}
 		g.patiences[route.Name] = known
 	}
-	if waited := known.observe(call.Patience, now); waited < route.Aim {
+	if waited := known.observe(call.Patience, now); float64(waited) < waitedShare*float64(route.Aim) {
 		return max(waited, call.Opening)
 	}
 	return call.Opening
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -340,6 +340,7 @@
 			Patience: all - 10*time.Millisecond, Transit: 4 * time.Millisecond, Opening: 4 * time.Millisecond,
 		}, 10 * time.Millisecond},
 		{"without a deadline", wigeonspindle.Call{Transit: 4 * time.Millisecond, Opening: 4 * time.Millisecond}, 4 * time.Millisecond},
+		{"who comes back after a refusal", wigeonspindle.Call{Patience: all - 70*time.Millisecond, Transit: 2 * time.Millisecond}, 0},
 		{"whose objective has passed", wigeonspindle.Call{Patience: all - 300*time.Millisecond, Transit: 2 * time.Millisecond}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
