server: an idle timer that fires late does not end a connection in use; drop unused fields

Ruled out by the race detector: reading the timer outside the lock. A suspicion that was cleared is taken back only if the hosts share it. The paths of health checks and the length of a warm-up were decoded and used by nothing.

--- a/catalog.go
+++ b/catalog.go
@@ -36,9 +36,7 @@
 // Pool is a group of replicas that answer alike.
 type Pool struct {
 	Name        string
-	Health      string // Health is the path of the health check.
-	Connections int    // Connections is what one replica accepts from all hosts together.
-	Warmup      time.Duration
+	Connections int // Connections is what one replica accepts from all hosts together.
 	// WarmupRate is the load that a cold replica bears, in requests per second of all
 	// hosts together; 0 means that the operators state no limit.
 	WarmupRate float64
--- a/internal/coordination/quarantiner/evidence.go
+++ b/internal/coordination/quarantiner/evidence.go
@@ -48,9 +48,9 @@
 	at          time.Time
 }
 
-// Broken notes that the connection to a target ended while it ran a request. Alone tells
-// that the sender had no other part of the same request in progress, so that the loss of
-// this target says more than that several targets were lost at once.
+// Broken notes that the connection to a target ended while it ran a request. Alone tells that
+// the request has one part only, or that this part was repeated: its loss then says more than
+// that several targets were lost at once.
 func (e *Evidence) Broken(fingerprint uint64, target string, alone bool, now time.Time) {
 	if e.broken == nil {
 		e.broken = make(map[string][]broken)
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -14,19 +15,30 @@
 }
 
 // suspect logs what became known about calls that crash replicas and shares it with the other
-// hosts: at once when it is certain, and otherwise if it still holds after a while.
+// hosts: at once when it is certain, and otherwise if it still holds after a while. A suspicion
+// that was cleared is taken back if the hosts share it.
 func (d *Dispatcher) suspect(suspicions []wigeonspindle.Suspicion, now time.Time) {
 	for _, suspicion := range suspicions {
 		d.Logger.Warn("suspicion", "fingerprint", suspicion.Name(), "replica", suspicion.Target, "points", suspicion.Points,
 			"cleared", suspicion.Cleared, "limit", quarantiner.Limit)
-		if suspicion.Cleared || suspicion.Points >= quarantiner.Limit {
+		switch {
+		case suspicion.Cleared && !d.shared(suspicion):
+			// The other hosts do not know of it.
+		case suspicion.Cleared || suspicion.Points >= quarantiner.Limit:
 			d.Report(suspicion)
-			continue
+		default:
+			d.timers.Once(now.Add(shareDelay), func(now time.Time) {
+				if d.Gatherer.Suspected(suspicion, now) {
+					d.Report(suspicion)
+				}
+			})
 		}
-		d.timers.Once(now.Add(shareDelay), func(now time.Time) {
-			if d.Gatherer.Suspected(suspicion, now) {
-				d.Report(suspicion)
-			}
-		})
 	}
 }
+
+// shared reports whether the hosts share a suspicion of the same call.
+func (d *Dispatcher) shared(suspicion wigeonspindle.Suspicion) bool {
+	return slices.ContainsFunc(d.world.Suspicions, func(known wigeonspindle.Suspicion) bool {
+		return known.Fingerprint == suspicion.Fingerprint
+	})
+}
--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -42,10 +42,13 @@
 	done     chan struct{}
 	mutex    sync.Mutex
 	busy     map[net.Conn]http.ConnState // busy holds the connections with a request to come or to answer.
-	waiting  map[net.Conn]*time.Timer    // waiting ends the connections whose next request takes too long.
+	waiting  map[net.Conn]*wait          // waiting holds the connections whose next request is awaited.
 	quiet    chan struct{}               // quiet is closed when a closing listener has no busy connection.
 }
 
+// wait is the time that a connection has for its next request.
+type wait struct{ timer *time.Timer }
+
 // Run listens and starts serving.
 func (l *Listener) Run() error {
 	listener, err := net.Listen("tcp", l.Address)
@@ -53,7 +56,7 @@
 		return errors.Wrapf(err, "listen for %s on %s", l.Name, l.Address)
 	}
 	listener = newMeasuringListener(listener, l.Connections)
-	l.listener, l.busy, l.waiting = listener, make(map[net.Conn]http.ConnState), make(map[net.Conn]*time.Timer)
+	l.listener, l.busy, l.waiting = listener, make(map[net.Conn]http.ConnState), make(map[net.Conn]*wait)
 	l.http.ConnState = l.track
 	l.http.ConnContext = withArrival
 	l.http.Handler = l.Handler
@@ -117,12 +120,14 @@
 // await ends a connection whose next request does not arrive in time. The server's own
 // timeouts are fixed when it starts, before the operators' limits are known.
 func (l *Listener) await(connection net.Conn, state http.ConnState) {
-	if timer, ok := l.waiting[connection]; ok {
-		timer.Stop()
+	if last, ok := l.waiting[connection]; ok {
+		last.timer.Stop()
 		delete(l.waiting, connection)
 	}
 	if limit := l.limit(state); limit > 0 {
-		l.waiting[connection] = time.AfterFunc(limit, func() { l.expire(connection) })
+		next := &wait{}
+		next.timer = time.AfterFunc(limit, func() { l.expire(connection, next) })
+		l.waiting[connection] = next
 	}
 }
 
@@ -139,13 +144,13 @@
 	return 0
 }
 
-// expire ends a connection that still waits for its next request.
-func (l *Listener) expire(connection net.Conn) {
+// expire ends a connection that still waits for its next request. When a timer fires while the
+// connection gets one, the connection may already wait for another.
+func (l *Listener) expire(connection net.Conn, over *wait) {
 	l.mutex.Lock()
-	_, waits := l.waiting[connection]
-	delete(l.waiting, connection)
-	l.mutex.Unlock()
-	if waits {
+	defer l.mutex.Unlock()
+	if l.waiting[connection] == over {
+		delete(l.waiting, connection)
 		_ = connection.Close() // Nothing is in progress on it.
 	}
 }
