Probe silent replicas on new connections, and end the connections that are silent

Ruled out: ending a send by its age alone, because replicas that are 12 times slower still run it.

A replica that has not answered for ten usual times, 0.4 s at least, is probed by one call on a new connection, less and less often while it does not answer; an answer there ends the connections that have been silent for four times as long. TestSilent was changed: it asked that a silent replica is unusable; it asks now that exactly one call in a growing period goes there, and marks it as a probe, which bounds the same harm and fails on the old code.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -72,6 +72,8 @@
 	Replica  *wigeonspindle.Replica
 	At       time.Time
 	Expected time.Duration
+	// Probe asks for a new connection, because the open ones may be silent.
+	Probe bool
 }
 
 // Step is what to do next for a call.
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -50,8 +50,8 @@
 	send := Send{Part: index, Number: p.sends, Kind: kind, Replica: replica, At: now, Expected: expected}
 	p.sends++
 	p.tried = append(p.tried, replica.ID)
+	send.Probe = g.gatherer.Selector.Sent(replica, now)
 	p.inflight = append(p.inflight, send)
-	g.gatherer.Selector.Sent(replica, now)
 	switch kind {
 	case wigeonspindle.SendHedge:
 		g.Hedges++
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -30,10 +30,14 @@
 	// replacedPeriod is how long a replica whose address another one has is left out. Its
 	// entry is removed after three missed signs of life.
 	replacedPeriod = 10 * time.Second
-	// silence is the age of an unanswered send, in expected times, from which a replica
+	// silence is the time without any answer to a send, in expected times, from which a replica
 	// counts as silent; silenceFloor is its least value. A pause of a replica is shorter.
 	silence      = 10
 	silenceFloor = 400 * time.Millisecond
+	// firstProbe is the time between two probes of a silent replica; each that is not answered
+	// doubles it up to lastProbe.
+	firstProbe = 200 * time.Millisecond
+	lastProbe  = 2 * time.Second
 	// crossDomain is the cost of another failure domain: about the time on the way there
 	// and back, and the price of traffic between domains.
 	crossDomain = 2 * time.Millisecond
@@ -70,6 +74,10 @@
 	// replacedAt when that was.
 	replaced   int64
 	replacedAt time.Time
+	answered   time.Time // answered is when the replica last answered.
+	silent     bool      // silent reports that the replica did not answer for long, and has not since.
+	probes     int       // probes counts the probes without an answer.
+	probed     time.Time // probed is when the last probe was sent.
 	load       wigeonspindle.TargetLoad
 	loadSeen   time.Time
 	coldSent   time.Time // coldSent is when the last call was sent while the replica was cold.
@@ -105,13 +113,19 @@
 	return false
 }
 
-// Sent notes a send.
-func (s *Selector) Sent(replica *wigeonspindle.Replica, now time.Time) {
+// Sent notes a send. It reports whether the send probes a silent replica: then it needs a new
+// connection, because the open ones may have gone silent instead of the replica.
+func (s *Selector) Sent(replica *wigeonspindle.Replica, now time.Time) (probe bool) {
 	standing := s.standing(replica.ID, now)
 	standing.sent = append(standing.sent, now)
+	if standing.silent {
+		standing.probes++
+		standing.probed = now
+	}
 	if now.Before(replica.WarmAt) {
 		standing.coldSent = now
 	}
+	return standing.silent
 }
 
 // Finished notes the result of a send that was made at a time and expected to take a while.
@@ -133,6 +147,7 @@
 		return
 	}
 	standing.failures, standing.blocked = 0, time.Time{}
+	standing.answered, standing.silent, standing.probes = now, false, 0
 	failed := 0.0
 	if exchange.Response.Refused || exchange.Response.Status >= 500 {
 		failed = 1
@@ -201,13 +216,19 @@
 	return known
 }
 
-// usable reports whether the replica still has its address and is neither blocked after
-// failures nor silent.
+// usable reports whether the replica still has its address, is not blocked after failures, and
+// answers or is due for a probe.
 func (st *standing) usable(replica *wigeonspindle.Replica, expected time.Duration, now time.Time) bool {
 	if !st.replacedAt.IsZero() && st.replaced == replica.Born && now.Sub(st.replacedAt) < replacedPeriod {
 		return false
 	}
-	return !now.Before(st.blocked) && st.age(now) < max(silence*expected, silenceFloor)
+	if now.Before(st.blocked) {
+		return false
+	}
+	if len(st.sent) > 0 && min(st.age(now), now.Sub(st.answered)) >= max(silence*expected, silenceFloor) {
+		st.silent = true
+	}
+	return !st.silent || st.probes == 0 || now.Sub(st.probed) >= min(firstProbe<<min(st.probes-1, 8), lastProbe)
 }
 
 // age returns the age of the oldest send without an answer.
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,22 +112,43 @@
 	}
 }
 
-// TestSilent guards against calls that all wait for a replica that does not answer, and
-// against a replica that stays out after its send has ended.
+// TestSilent guards against calls that all wait for a replica that does not answer, against one
+// that stays out although it would answer on a new connection, and against one that stays out
+// after it has answered.
 func TestSilent(t *testing.T) {
 	s, w := newSelector(), world()
 	w.Out = map[string]bool{"b": true}
 	w.Replicas["pool"][1].Domain = "b"
-	s.Sent(w.Replicas["pool"][0], at(0))
+	replica := w.Replicas["pool"][0]
+	if s.Sent(replica, at(0)) {
+		t.Error("first send: got a probe, want none")
+	}
 	if !s.Usable(w, "pool", expected, at(100*time.Millisecond)) {
 		t.Error("replica that pauses for 100 ms: got unusable, want usable")
 	}
-	if s.Usable(w, "pool", expected, at(600*time.Millisecond)) {
-		t.Error("replica without an answer for 600 ms: got usable, want unusable")
+	// Calls come every 10 ms from the time on at which the replica counts as silent.
+	var probes []time.Duration
+	for after := 600 * time.Millisecond; after < 8*time.Second; after += 10 * time.Millisecond {
+		if _, ok := s.Pick(w, "pool", nil, expected, at(after)); !ok {
+			continue
+		}
+		if !s.Sent(replica, at(after)) {
+			t.Errorf("send to a silent replica after %v: got no probe, want one", after)
+		}
+		probes = append(probes, after)
+	}
+	want := []time.Duration{600, 800, 1200, 2000, 3600, 5600, 7600}
+	for i := range want {
+		want[i] *= time.Millisecond
+	}
+	if !slices.Equal(probes, want) {
+		t.Errorf("probes: got them after %v, want %v", probes, want)
 	}
-	s.Finished(w.Replicas["pool"][0], at(0), expected, answered(expected), at(700*time.Millisecond))
-	if !s.Usable(w, "pool", expected, at(700*time.Millisecond)) {
-		t.Error("replica that answered: got unusable, want usable")
+	s.Finished(replica, at(7600*time.Millisecond), expected, answered(expected), at(8*time.Second))
+	for range 3 {
+		if !s.Usable(w, "pool", expected, at(8*time.Second)) || s.Sent(replica, at(8*time.Second)) {
+			t.Error("replica that answered: got unusable or probed, want usable")
+		}
 	}
 }
 
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -40,6 +40,13 @@
 	// freshIdle is the longest idle time of a connection that carries a call that must not
 	// run twice: a connection that ends under such a call loses it.
 	freshIdle = time.Second
+	// newConnection asks for a connection that has never been idle.
+	newConnection = time.Nanosecond
+	// silentFactor and silentFloor are how long a connection must have been silent, in times of
+	// an answer on a new one and at least, to be ended. A long request on a sound connection
+	// takes less.
+	silentFactor = 4
+	silentFloor  = 400 * time.Millisecond
 	// knowledgeLimit is the age of the beliefs from which an unknown route may be a new one.
 	knowledgeLimit = 3 * time.Second
 	// shareDelay is how long a suspicion waits for an answer from another replica before the
@@ -279,12 +286,17 @@
 	job := &exchanger.Job{Call: p.call, Key: key{pending: p, send: send}}
 	job.Request = d.Dialect.Request(nil, p.call, send.Replica, p.gather.Hard.Sub(now))
 	var fresh time.Duration
-	if p.route.Class == wigeonspindle.Once {
+	limit := d.limit(send.Replica)
+	switch {
+	case send.Probe:
+		fresh = newConnection
+		limit++ // All others may be held by sends that are never answered.
+	case p.route.Class == wigeonspindle.Once:
 		fresh = freshIdle
 	}
 	p.jobs = append(p.jobs, job)
 	d.Meter.Sent(p.route.Name, send.Kind)
-	if !d.pool.Send(send.Replica, job, d.limit(send.Replica), fresh) {
+	if !d.pool.Send(send.Replica, job, limit, fresh) {
 		d.finished(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeOverloaded}, nil)
 	}
 }
@@ -303,6 +315,9 @@
 	k := job.Key.(key)
 	p, now := k.pending, d.Clock.Now()
 	p.remove(job)
+	if k.send.Probe && exchange.Response != nil {
+		d.renew(k.send, exchange.Took, now)
+	}
 	d.logExchange(p, k.send, exchange, err)
 	decided := p.gather.Decided()
 	step := p.gather.Finished(k.send, exchange, now)
@@ -317,6 +332,17 @@
 	}
 }
 
+// renew ends the connections to a replica that has answered a probe, if they have been silent
+// for several times as long as the answer took.
+func (d *Dispatcher) renew(send gatherer.Send, took time.Duration, now time.Time) {
+	silent := now.Add(-max(silentFactor*took, silentFloor))
+	if silent.After(send.At) {
+		silent = send.At
+	}
+	d.Logger.Warn("connections renewed", "replica", send.Replica.ID, "pool", send.Replica.Pool, "after", took, "expected", send.Expected)
+	d.pool.Renew(send.Replica.ID, silent)
+}
+
 // conclude answers a call. Its remaining sends are ended when they overrun.
 func (d *Dispatcher) conclude(p *pending, reply wigeonspindle.CallReply, now time.Time) {
 	p.reply <- reply // The channel has room for the only reply.
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -300,3 +300,31 @@
 		t.Errorf("connections: got %d, want %d", got, want)
 	}
 }
+
+// TestRenew guards against connections that stay open, and requests that wait for them, after
+// they have gone silent.
+func TestRenew(t *testing.T) {
+	target := newTarget(t, func(path string) (string, bool) {
+		if path == "stuck" {
+			return "", false
+		}
+		return answer(path, "x"), false
+	})
+	b := newBench(t, target.listener.Addr().String())
+	b.send("stuck", 2)
+	b.send("sound", 2)
+	b.wait(t, "sound")
+	b.pool.Renew("r", time.Now())
+	b.wait(t, "stuck")
+	if got, want := b.results["stuck"].Code, wigeonspindle.CodeCancelled; got != want {
+		t.Errorf("request on a silent connection: got code %q, want %q", got, want)
+	}
+	if got, want := b.results["stuck"].Verdict, wigeonspindle.MayHaveRun; got != want {
+		t.Errorf("request on a silent connection: got %v, want %v", got, want)
+	}
+	b.send("next", 2)
+	b.wait(t, "next")
+	if got, want := target.accepted.Load(), int32(3); got != want {
+		t.Errorf("connections: got %d, want %d, because the idle one was ended too", got, want)
+	}
+}
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// Renew ends the connections to a replica that are silent while others work: the idle ones that
+// were used last before a time, and those whose job was started before it.
+func (p *Pool) Renew(replica string, before time.Time) {
+	l := p.line(replica)
+	idle := l.idle[:0]
+	for _, connection := range l.idle {
+		if connection.Idle.Before(before) {
+			p.end(connection)
+			continue
+		}
+		idle = append(idle, connection)
+	}
+	l.idle = idle
+	for connection, job := range l.active {
+		if job.started.Before(before) {
+			connection.Abort()
+		}
+	}
+}
+
 // Keep closes the idle connections to replicas that are not among the known ones.
 func (p *Pool) Keep(known map[string]bool) {
 	for id, l := range p.lines {
