Hosts that stand by keep no connections to replicas

Ruled out: a configuration that had not arrived, failing replicas (the serving hosts had no failure there). A pool of a host that stands by is transient: connections end after their job.

--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -328,3 +328,25 @@
 		t.Errorf("connections: got %d, want %d, because the idle one was ended too", got, want)
 	}
 }
+
+// TestTransient guards against hosts that serve few calls and together hold all connections
+// that a replica accepts.
+func TestTransient(t *testing.T) {
+	target := newTarget(t, func(path string) (string, bool) { return answer(path, "x"), false })
+	b := newBench(t, target.listener.Addr().String())
+	b.send("kept", 1)
+	b.wait(t, "kept")
+	if got, want := b.pool.Size(), 1; got != want {
+		t.Errorf("connections after a request: got %d, want %d", got, want)
+	}
+	b.pool.Transient = true
+	b.pool.Keep(map[string]bool{"r": true})
+	if got, want := b.pool.Size(), 0; got != want {
+		t.Errorf("connections of a pool that has become transient: got %d, want %d", got, want)
+	}
+	b.send("ended", 1)
+	b.wait(t, "ended")
+	if got, want := b.pool.Size(), 0; got != want {
+		t.Errorf("connections of a transient pool after a request: got %d, want %d", got, want)
+	}
+}
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -16,6 +16,9 @@
 	Stop    <-chan struct{}
 	// Done receives each job with its result.
 	Done func(job *Job, exchange wigeonspindle.Exchange, err error)
+	// Transient ends each connection after its job. A host that rarely sends must not hold
+	// connections that the replicas could give to others.
+	Transient bool
 	// Reached receives whether a replica accepted a connection, unless a job has told it.
 	Reached func(replica *wigeonspindle.Replica, accepted bool)
 
@@ -103,11 +106,12 @@
 	}
 }
 
-// Keep closes the idle connections to replicas that are not among the known ones.
+// Keep closes the idle connections to replicas that are not among the known ones, and all idle
+// ones of a transient pool.
 func (p *Pool) Keep(known map[string]bool) {
 	for id, l := range p.lines {
 		l.closed = !known[id]
-		if !l.closed {
+		if !l.closed && !p.Transient {
 			continue
 		}
 		for _, connection := range l.idle {
@@ -227,7 +231,7 @@
 		connection.Start(job)
 		return
 	}
-	if l.closed {
+	if l.closed || p.Transient {
 		p.end(connection)
 		return
 	}
