gatherer: hosts that stand by use a small part of the slack of a pool's budget

One replica of the shard was left and refused with 503; each of the 99 hosts that stand by took the same share of the slack as one of the 8 that serve, so that their test requests repeated about 500 sends. Ruled out: the serving hosts (about 24 repeats each, within their share); hedges (4,059 over 90 shards).

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -56,6 +56,9 @@
 	// parts are repeated one at a time, so that a call that crashes each replica does not
 	// take the second replica of every shard as well.
 	brokenLimit = 2
+	// standbyPart is how many times less of a budget's slack the hosts that stand by use together
+	// than those that serve. They get few calls, but are many.
+	standbyPart = 4
 	// holdFloor is the least time for which the other parts of such a call wait.
 	holdFloor = 2 * time.Millisecond
 	// retryAfter is when a caller may come again when no replica is usable, or an overload is
@@ -94,6 +97,8 @@
 	Evidence *quarantiner.Evidence
 
 	estimates map[string]wigeonspindle.Estimator
+	// Standby reports that callers are not sent to this host.
+	Standby bool
 	// NewEstimator returns an empty estimator.
 	NewEstimator func() wigeonspindle.Estimator
 	splits       map[string]*split
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -366,3 +366,38 @@
 		})
 	}
 }
+
+// TestStandby guards against many hosts that get a few calls each and together repeat more
+// sends to a pool that refuses them than the operators allow.
+func TestStandby(t *testing.T) {
+	const hosts, serving, calls = 107, 8, 5
+	const ratio, slack = 0.2, 278
+	repeats, asked := 0, 0
+	for host := range hosts {
+		h := newHarness(1)
+		h.Budget = &budgeter.Budgeter{Ratio: ratio, Slack: slack, Window: 10 * time.Second}
+		h.Standby = host >= serving
+		h.world.Peers, h.world.Serving = make([]wigeonspindle.Peer, hosts), make([]wigeonspindle.Peer, serving)
+		for i := range calls {
+			asked++
+			gather, step := h.call(time.Duration(i) * time.Second)
+			now := at(time.Duration(i) * time.Second)
+			for sends := step.Sends; step.Reply == nil; {
+				for _, send := range sends {
+					now = now.Add(time.Millisecond)
+					step = gather.Finished(send, refused, now)
+					repeats += len(step.Sends)
+				}
+				if sends = step.Sends; len(sends) == 0 && step.Reply == nil {
+					now = step.Wake
+					step = gather.Tick(now)
+					sends = step.Sends
+					repeats += len(sends)
+				}
+			}
+		}
+	}
+	if got, want := repeats, int(ratio*float64(asked)+slack); got > want {
+		t.Errorf("repeated sends of all hosts in a window: got %d, want at most %d", got, want)
+	}
+}
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -35,7 +35,7 @@
 		ok = false
 	}
 	if ok && p.sends > 0 && (p.arrivals > 0 || len(p.inflight) > 0) {
-		ok = p.sends < maxSends && g.gatherer.Budget.Take(p.pool, len(g.World.Serving), now)
+		ok = p.sends < maxSends && g.gatherer.Budget.Take(p.pool, g.senders(), now)
 	}
 	if !ok {
 		if kind == wigeonspindle.SendHedge {
@@ -108,6 +108,14 @@
 	return false
 }
 
+// senders returns the number of hosts among which the slack of a pool's budget is divided.
+func (g *Gather) senders() int {
+	if !g.gatherer.Standby {
+		return len(g.World.Serving)
+	}
+	return standbyPart * max(len(g.World.Peers)-len(g.World.Serving), 1)
+}
+
 // strain returns how a send went, from 0 for an answer in time to 1 for a refusal.
 func (g *Gather) strain(exchange wigeonspindle.Exchange) float64 {
 	refused := exchange.Code == wigeonspindle.CodeOverloaded || exchange.Response != nil && exchange.Response.Refused
@@ -137,7 +145,7 @@
 		p.runs+1 >= g.Route.Attempts || g.broken >= brokenLimit && g.done == 0 {
 		return time.Time{}
 	}
-	if g.gatherer.Budget.Fill(p.pool, len(g.World.Serving), now) >= hedgeFill ||
+	if g.gatherer.Budget.Fill(p.pool, g.senders(), now) >= hedgeFill ||
 		g.gatherer.Throttler.Pressure(p.pool, now) >= hedgePressure {
 		return time.Time{}
 	}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -184,7 +184,7 @@
 	d.serving = slices.ContainsFunc(world.Serving, own) || !slices.ContainsFunc(world.Peers, own)
 	known := world.ReplicaIDs()
 	d.Gatherer.Keep(world, known, d.Clock.Now())
-	d.pool.Transient = !d.serving
+	d.pool.Transient, d.Gatherer.Standby = !d.serving, !d.serving
 	d.pool.Keep(known)
 	if d.serving && world.Catalog != nil {
 		d.prepare(world)
