dispatcher, watcher: log the fingerprint of lost calls and each report of a suspicion

The logs of a host could not tell hypotheses 1, 2 and 4 of docs/incidents/crashing-call.md apart: nothing said that the registry had taken a suspicion and with which score, and nothing led from the ID of a call to its fingerprint. The reporter now logs each report that the registry took, and the lines of broken sends and of quarantined calls name the fingerprint. No decision changes.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -128,6 +128,9 @@
 // Decided reports whether the call was answered or cancelled.
 func (c *CallState) Decided() bool { return c.decided }
 
+// Fingerprint returns the hash under which the call is suspected of crashing replicas.
+func (c *CallState) Fingerprint() uint64 { return c.fingerprint }
+
 // Coverage returns the number of answered parts and of all parts.
 func (c *CallState) Coverage() (answered, total int) { return c.answeredParts, len(c.parts) }
 
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -20,6 +20,9 @@
 	if exchange.Response != nil {
 		fields = append(fields, "status", exchange.Response.Status)
 	}
+	if exchange.Code == wigeonspindle.CodeBroken {
+		fields = append(fields, "fingerprint", fingerprintName(p))
+	}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
 	}
@@ -43,9 +46,17 @@
 	}
 	if reply.Refusal != nil {
 		outcome = string(reply.Refusal.Code)
+		if reply.Refusal.Code == wigeonspindle.CodeQuarantined {
+			fields = append(fields, "fingerprint", fingerprintName(p))
+		}
 		fields = append(fields, "verdict", reply.Refusal.Verdict, "reason", reply.Refusal.Message,
 			"retry_after", reply.RetryAfter, "registry_state_age", now.Sub(d.deployment.RegistrySeen))
 	}
 	d.Meter.ObserveReply(route, outcome, took)
 	d.Logger.Info("replied to call", append(fields, "outcome", outcome)...)
 }
+
+// fingerprintName returns the name under which the hosts share suspicions against a call.
+func fingerprintName(p *pendingCall) string {
+	return wigeonspindle.Suspicion{Fingerprint: p.state.Fingerprint()}.Name()
+}
--- a/internal/transport/watcher/reporter.go
+++ b/internal/transport/watcher/reporter.go
@@ -53,7 +53,12 @@
 func (r *Reporter) report(ctx context.Context, suspicion wigeonspindle.Suspicion) {
 	for range reportAttempts {
 		err := r.reportOnce(ctx, suspicion)
-		if err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			r.Logger.Info("reported to the registry the suspicion that a call crashes replicas", "fingerprint", suspicion.Name(),
+				"replica", suspicion.Target, "score", suspicion.Score, "cleared", suspicion.Cleared)
 			return
 		}
 		r.Logger.Warn("failed to report to the registry the suspicion that a call crashes replicas", "fingerprint", suspicion.Name(), "error", err)
