quarantiner: share each crash of a call by itself instead of a total

Callers saw: a call that had crashed replicas went on crashing replicas at other hosts, after the host that had seen the crashes refused it.

Cause: hosts shared a total per call under one key. A suspicion below the threshold is reported half a second late, with the total of its time, so the report of the first crash replaced that of the quarantine (the registry held score 1 while host-1 held 3). Totals of several hosts were merged by their maximum, so two hosts with one crash each still had a total of 1.

Change: a suspicion is one crash with an ID of its own; the score of a call is the sum over the crashes that a host knows, its own and those of others. An entry has one writer and never changes, and when a call reaches the threshold all evidence is reported at once. Crashes that may have a common cause (the first sends of a wide call) count once, also across hosts.

Ruled out: reading the entry before writing it (costs a call and still loses one of two writers); reporting the current total after the delay (two hosts still replace each other's total).

Evidence: TestReportOfQuarantine and TestCrashesAtSeveralHosts fail on the code before (the registry holds one entry with score 1; state suspect instead of quarantined) and pass now. TestQuarantine merged one suspicion that held the total; it now merges those of all three crashes and checks in addition that their withdrawal does not clear the quarantine.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -81,9 +81,7 @@
 	switch {
 	case exchange.Response != nil && exchange.Response.Success():
 		correlator.RecordReachable(replica)
-		if cleared, ok := correlator.RecordAnswer(fingerprint, replica, now); ok {
-			return []wigeonspindle.Suspicion{cleared}
-		}
+		return correlator.RecordAnswer(fingerprint, replica, now)
 	case exchange.Response != nil:
 		correlator.RecordReachable(replica)
 	case exchange.Code == wigeonspindle.CodeBroken:
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -206,11 +206,6 @@
 	return g.Correlator.RecordUnreachable(replica.ID, now)
 }
 
-// IsSuspected reports whether the call of a suspicion is still suspected or quarantined.
-func (g *Gatherer) IsSuspected(suspicion wigeonspindle.Suspicion, now time.Time) bool {
-	return g.Correlator.Quarantiner.State(suspicion.Fingerprint, now) != quarantiner.Clear
-}
-
 // expectedLatency returns the median latency of the sends of the call's route.
 func (c *CallState) expectedLatency(now time.Time) time.Duration {
 	estimate := c.gatherer.estimator(c.Route).Estimate(now)
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -78,14 +78,16 @@
 	}
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
 	for fingerprint, request := range suspects {
-		suspicions = append(suspicions, c.Quarantiner.RecordCrash(fingerprint, target, len(suspects), request.isolated, c.SuspicionTTL, now))
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, target, len(suspects), request.isolated, c.SuspicionTTL, now); added {
+			suspicions = append(suspicions, suspicion)
+		}
 	}
 	return suspicions
 }
 
-// RecordAnswer records that a target answered a request. It returns the cleared suspicion to
-// send to the other hosts, and false when there was none.
-func (c *CrashCorrelator) RecordAnswer(fingerprint uint64, target string, now time.Time) (wigeonspindle.Suspicion, bool) {
+// RecordAnswer records that a target answered a request. It returns the withdrawn suspicions to
+// send to the other hosts.
+func (c *CrashCorrelator) RecordAnswer(fingerprint uint64, target string, now time.Time) []wigeonspindle.Suspicion {
 	for other, requests := range c.brokenRequests {
 		kept := requests[:0]
 		for _, request := range requests {
--- a/internal/coordination/quarantiner/correlator_test.go
+++ b/internal/coordination/quarantiner/correlator_test.go
@@ -54,8 +54,8 @@
 		{"another target answers after the loss", func(c *quarantiner.CrashCorrelator) {
 			c.RecordBrokenConnection(1, "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch)
-			if _, ok := c.RecordAnswer(1, "t2", epoch); !ok {
-				t.Error("cleared suspect: got no suspicion to send, want a cleared one")
+			if got := c.RecordAnswer(1, "t2", epoch); len(got) != 1 || !got[0].Cleared {
+				t.Errorf("cleared suspect: got the suspicions %+v to send, want a cleared one", got)
 			}
 		}, quarantiner.Clear},
 		{"other requests ran on the same targets", func(c *quarantiner.CrashCorrelator) {
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -4,19 +4,25 @@
 package quarantiner
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
 )
 
-// ScoreThreshold is the score at which a fingerprint is quarantined. It equals two crashes that
-// each had one isolated attempt in flight, so that a target that fails for another reason does
-// not quarantine a request.
-const ScoreThreshold = 2
-
-// successRotationPeriod is the minimum time for which a success is kept while the table has room.
-const successRotationPeriod = 10 * time.Minute
+const (
+	// ScoreThreshold is the score at which a fingerprint is quarantined. It equals two crashes that
+	// each had one isolated attempt in flight, so that a target that fails for another reason does
+	// not quarantine a request.
+	ScoreThreshold = 2
+	// maxCrashes bounds the crashes that are kept for a fingerprint. More add nothing once it is
+	// quarantined.
+	maxCrashes = 16
+	// successRotationPeriod is the minimum time for which a success is kept while the table has room.
+	successRotationPeriod = 10 * time.Minute
+)
 
 // State is the state of a fingerprint.
 type State uint8
@@ -35,73 +41,104 @@
 	// least the latest MinSuccesses and at most twice as many are kept.
 	MaxSuspects, MinSuccesses int
 
-	suspects          map[uint64]suspect
+	suspects          map[uint64][]wigeonspindle.Suspicion // suspects holds the crashes of each fingerprint, the oldest first.
+	crashCount        uint64                               // crashCount numbers the crashes that this host has seen.
 	successes         map[uint64]bool
 	previousSuccesses map[uint64]bool // previousSuccesses holds the successes before rotatedAt.
 	rotatedAt         time.Time
 }
 
-type suspect struct {
-	score     float64
-	expiresAt time.Time
-}
-
-// RecordCrash adds the score of a crash, divided by the number of attempts that were in flight,
-// and returns the suspicion to send to the other hosts. Attempts that were not isolated make a
-// fingerprint at most suspect: when a failure domain stops, a query of many shards loses many
-// attempts at once.
-func (q *Quarantiner) RecordCrash(fingerprint uint64, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) wigeonspindle.Suspicion {
-	known := q.lookup(fingerprint, now)
-	score := known.score + 1/float64(max(concurrentAttempts, 1))
-	if !isolated {
-		score = max(known.score, min(score, ScoreThreshold/2))
-	}
-	known.score = score
-	known.expiresAt = now.Add(ttl)
-	q.store(fingerprint, known, now)
+// RecordCrash records a crash, whose weight is divided by the number of attempts that were in
+// flight. It returns the suspicion to send to the other hosts, and false when the crash adds nothing.
+// Attempts that were not isolated make a fingerprint at most suspect: when a failure domain stops, a
+// query of many shards loses many attempts at once.
+func (q *Quarantiner) RecordCrash(fingerprint uint64, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
 	delete(q.successes, fingerprint)
 	delete(q.previousSuccesses, fingerprint)
-	return wigeonspindle.Suspicion{Fingerprint: fingerprint, Score: known.score, Target: target, Expires: known.expiresAt}
+	for _, known := range q.lookup(fingerprint, now) {
+		if known.Simultaneous && !isolated {
+			return known, false
+		}
+	}
+	if q.crashCount == 0 {
+		q.crashCount = uint64(now.UnixNano()) // Differs from the numbers of an earlier run of the host.
+	}
+	q.crashCount++
+	suspicion := wigeonspindle.Suspicion{
+		Fingerprint: fingerprint, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
+		Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
+	}
+	q.store(suspicion, now)
+	return suspicion, true
 }
 
-// Merge applies a suspicion of another host. Scores are totals of which the larger one counts,
-// so that a suspicion may arrive any number of times.
+// Merge applies a suspicion of another host, which may arrive any number of times. A quarantined
+// fingerprint is not cleared.
 func (q *Quarantiner) Merge(received wigeonspindle.Suspicion, now time.Time) {
 	known := q.lookup(received.Fingerprint, now)
+	index := slices.IndexFunc(known, func(s wigeonspindle.Suspicion) bool { return s.Crash == received.Crash })
 	switch {
 	case received.Cleared:
-		if known.state() == Suspect {
-			delete(q.suspects, received.Fingerprint)
+		if index >= 0 && score(known) < ScoreThreshold {
+			q.remove(received.Fingerprint, index)
 		}
-	case received.Score > known.score && now.Before(received.Expires) && !math.IsInf(received.Score, 0):
-		q.store(received.Fingerprint, suspect{score: received.Score, expiresAt: received.Expires}, now)
+	case index < 0 && received.Score > 0 && now.Before(received.Expires):
+		received.Score = min(received.Score, 1) // One crash is never more evidence than a crash alone.
+		q.store(received, now)
 	}
 }
 
 // RecordCompletion clears a suspect fingerprint whose request completed on a target while no
-// other attempt ran there. It returns the cleared suspicion to send to the other hosts, and
-// false when nothing changed.
-func (q *Quarantiner) RecordCompletion(fingerprint uint64, target string, now time.Time) (wigeonspindle.Suspicion, bool) {
-	known := q.lookup(fingerprint, now)
-	if known.state() != Suspect {
-		return wigeonspindle.Suspicion{}, false
+// other attempt ran there. It returns the withdrawn suspicions to send to the other hosts.
+func (q *Quarantiner) RecordCompletion(fingerprint uint64, target string, now time.Time) []wigeonspindle.Suspicion {
+	if q.State(fingerprint, now) != Suspect {
+		return nil
+	}
+	var withdrawn []wigeonspindle.Suspicion
+	for _, suspicion := range q.suspects[fingerprint] {
+		suspicion.Cleared, suspicion.Score, suspicion.Target = true, 0, target
+		withdrawn = append(withdrawn, suspicion)
 	}
 	delete(q.suspects, fingerprint)
-	return wigeonspindle.Suspicion{Fingerprint: fingerprint, Target: target, Expires: known.expiresAt, Cleared: true}, true
+	return withdrawn
 }
 
 // State returns the current state of a fingerprint.
 func (q *Quarantiner) State(fingerprint uint64, now time.Time) State {
+	switch total := q.Score(fingerprint, now); {
+	case total >= ScoreThreshold:
+		return Quarantined
+	case total > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// Score returns the evidence against a fingerprint. ScoreThreshold or more quarantines it.
+func (q *Quarantiner) Score(fingerprint uint64, now time.Time) float64 {
 	if len(q.suspects) == 0 {
-		return Clear
+		return 0
 	}
-	return q.lookup(fingerprint, now).state()
+	return score(q.lookup(fingerprint, now))
+}
+
+// Holds reports whether a suspicion has neither expired nor been withdrawn.
+func (q *Quarantiner) Holds(suspicion wigeonspindle.Suspicion, now time.Time) bool {
+	return slices.ContainsFunc(q.lookup(suspicion.Fingerprint, now), func(known wigeonspindle.Suspicion) bool {
+		return known.Crash == suspicion.Crash
+	})
 }
 
-// ExpiresAt returns when the suspicion against a fingerprint expires, or the zero time when
+// ExpiresAt returns when the last suspicion against a fingerprint expires, or the zero time when
 // there is none.
 func (q *Quarantiner) ExpiresAt(fingerprint uint64, now time.Time) time.Time {
-	return q.lookup(fingerprint, now).expiresAt
+	var last time.Time
+	for _, known := range q.lookup(fingerprint, now) {
+		if known.Expires.After(last) {
+			last = known.Expires
+		}
+	}
+	return last
 }
 
 // RecordSuccess records that a target answered a request.
@@ -123,59 +160,86 @@
 // Suspicions returns the unexpired suspicions, to be sent to a host that was unreachable.
 func (q *Quarantiner) Suspicions(now time.Time) []wigeonspindle.Suspicion {
 	var suspicions []wigeonspindle.Suspicion
-	for fingerprint, known := range q.suspects {
-		if now.Before(known.expiresAt) {
-			suspicions = append(suspicions, wigeonspindle.Suspicion{Fingerprint: fingerprint, Score: known.score, Expires: known.expiresAt})
-		}
+	for fingerprint := range q.suspects {
+		suspicions = append(suspicions, q.SuspicionsOf(fingerprint, now)...)
 	}
 	return suspicions
 }
 
+// SuspicionsOf returns the unexpired suspicions against a fingerprint.
+func (q *Quarantiner) SuspicionsOf(fingerprint uint64, now time.Time) []wigeonspindle.Suspicion {
+	return slices.Clone(q.lookup(fingerprint, now))
+}
+
 // Len returns the number of suspect and quarantined fingerprints.
 func (q *Quarantiner) Len() int { return len(q.suspects) }
 
-func (s suspect) state() State {
-	switch {
-	case s.score >= ScoreThreshold-1e-9: // The tolerance absorbs rounding of the fractions.
-		return Quarantined
-	case s.score > 0:
-		return Suspect
+// score returns the evidence of several crashes. Simultaneous ones count like the weightiest of
+// them.
+func score(crashes []wigeonspindle.Suspicion) float64 {
+	total, simultaneous := 0.0, 0.0
+	for _, known := range crashes {
+		if known.Simultaneous {
+			simultaneous = max(simultaneous, known.Score)
+			continue
+		}
+		total += known.Score
 	}
-	return Clear
+	const rounding = 1e-9 // Absorbs rounding of the fractions.
+	if total += simultaneous; total >= ScoreThreshold-rounding {
+		return max(total, ScoreThreshold)
+	}
+	return total
 }
 
-// lookup returns the unexpired entry of a fingerprint, or the zero value.
-func (q *Quarantiner) lookup(fingerprint uint64, now time.Time) suspect {
+// lookup returns the unexpired crashes of a fingerprint.
+func (q *Quarantiner) lookup(fingerprint uint64, now time.Time) []wigeonspindle.Suspicion {
 	known, ok := q.suspects[fingerprint]
-	if ok && !now.Before(known.expiresAt) {
+	if !ok {
+		return nil
+	}
+	known = slices.DeleteFunc(known, func(s wigeonspindle.Suspicion) bool { return !now.Before(s.Expires) })
+	if len(known) == 0 {
 		delete(q.suspects, fingerprint)
-		return suspect{}
+		return nil
 	}
+	q.suspects[fingerprint] = known
 	return known
 }
 
-// store sets the entry of a fingerprint. A full table evicts the entry with the lowest score,
-// so quarantined fingerprints are evicted only when there are no others.
-func (q *Quarantiner) store(fingerprint uint64, entry suspect, now time.Time) {
+// store adds a crash. A full table evicts the fingerprint with the lowest score, so quarantined
+// fingerprints are evicted only when there are no others.
+func (q *Quarantiner) store(suspicion wigeonspindle.Suspicion, now time.Time) {
 	if q.suspects == nil {
-		q.suspects = make(map[uint64]suspect)
+		q.suspects = make(map[uint64][]wigeonspindle.Suspicion)
 	}
-	if _, ok := q.suspects[fingerprint]; !ok && len(q.suspects) >= q.MaxSuspects {
+	known, ok := q.suspects[suspicion.Fingerprint]
+	if !ok && len(q.suspects) >= q.MaxSuspects {
 		q.evict(now)
 	}
-	q.suspects[fingerprint] = entry
+	if len(known) >= maxCrashes {
+		known = slices.Delete(known, 0, 1)
+	}
+	q.suspects[suspicion.Fingerprint] = append(known, suspicion)
+}
+
+func (q *Quarantiner) remove(fingerprint uint64, index int) {
+	known := slices.Delete(q.suspects[fingerprint], index, index+1)
+	if q.suspects[fingerprint] = known; len(known) == 0 {
+		delete(q.suspects, fingerprint)
+	}
 }
 
 func (q *Quarantiner) evict(now time.Time) {
 	var victim uint64
 	lowest := math.Inf(1)
-	for fingerprint, entry := range q.suspects {
-		score := entry.score
-		if !now.Before(entry.expiresAt) {
-			score = 0
+	for fingerprint, crashes := range q.suspects {
+		total := 0.0
+		if now.Before(crashes[len(crashes)-1].Expires) {
+			total = score(crashes)
 		}
-		if score < lowest || score == lowest && fingerprint < victim {
-			victim, lowest = fingerprint, score
+		if total < lowest || total == lowest && fingerprint < victim {
+			victim, lowest = fingerprint, total
 		}
 	}
 	delete(q.suspects, victim)
--- a/internal/coordination/quarantiner/quarantiner_test.go
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -25,25 +25,30 @@
 	q.RecordCrash(1, "t0", 2, false, expiry, epoch)
 	q.RecordCrash(2, "t0", 2, false, expiry, epoch)
 	checkState("shared crash", 1, epoch, quarantiner.Suspect)
-	if cleared, ok := q.RecordCompletion(2, "t1", epoch); !ok || !cleared.Cleared {
-		t.Errorf("isolated completion: got %+v and %t, want a cleared suspicion", cleared, ok)
+	if cleared := q.RecordCompletion(2, "t1", epoch); len(cleared) != 1 || !cleared[0].Cleared {
+		t.Errorf("isolated completion: got %+v, want a cleared suspicion", cleared)
 	}
 	checkState("isolated completion", 2, epoch, quarantiner.Clear)
 	q.RecordCrash(1, "t1", 1, true, expiry, epoch)
 	checkState("score 1.5", 1, epoch, quarantiner.Suspect)
-	suspicion := q.RecordCrash(1, "t2", 1, true, expiry, epoch)
+	q.RecordCrash(1, "t2", 1, true, expiry, epoch)
 	checkState("score 2.5", 1, epoch, quarantiner.Quarantined)
-	if _, ok := q.RecordCompletion(1, "t3", epoch); ok {
-		t.Error("quarantined request: want it not cleared by a late completion")
+	if got := q.RecordCompletion(1, "t3", epoch); len(got) != 0 {
+		t.Errorf("quarantined request: got %+v, want it not cleared by a late completion", got)
 	}
 	other := &quarantiner.Quarantiner{MaxSuspects: 8}
-	other.Merge(suspicion, epoch)
-	other.Merge(wigeonspindle.Suspicion{Fingerprint: 1, Cleared: true, Expires: suspicion.Expires}, epoch)
+	for _, suspicion := range q.SuspicionsOf(1, epoch) {
+		other.Merge(suspicion, epoch)
+	}
+	for _, suspicion := range q.SuspicionsOf(1, epoch) {
+		suspicion.Cleared = true
+		other.Merge(suspicion, epoch)
+	}
 	if got, want := other.State(1, epoch), quarantiner.Quarantined; got != want {
-		t.Errorf("received suspicion: got state %d, want %d", got, want)
+		t.Errorf("received suspicions: got state %d, want %d", got, want)
 	}
-	other.Merge(wigeonspindle.Suspicion{Fingerprint: 3, Score: 1, Expires: suspicion.Expires}, epoch)
-	other.Merge(wigeonspindle.Suspicion{Fingerprint: 3, Score: 1, Expires: suspicion.Expires}, epoch)
+	other.Merge(wigeonspindle.Suspicion{Fingerprint: 3, Crash: "t1-1", Score: 1, Expires: epoch.Add(expiry)}, epoch)
+	other.Merge(wigeonspindle.Suspicion{Fingerprint: 3, Crash: "t1-1", Score: 1, Expires: epoch.Add(expiry)}, epoch)
 	if got, want := other.State(3, epoch), quarantiner.Suspect; got != want {
 		t.Errorf("suspicion received twice: got state %d, want %d", got, want)
 	}
@@ -81,3 +86,45 @@
 		t.Error("crash: want the success dropped, so that a canary runs first again")
 	}
 }
+
+// TestCrashesAtSeveralHosts guards against a crashing request that every host still takes because
+// each of them has seen only one of its crashes.
+func TestCrashesAtSeveralHosts(t *testing.T) {
+	first, second := &quarantiner.Quarantiner{MaxSuspects: 8}, &quarantiner.Quarantiner{MaxSuspects: 8}
+	first.RecordCrash(1, "t1", 1, true, expiry, epoch)
+	second.RecordCrash(1, "t2", 1, true, expiry, epoch)
+	for _, suspicion := range first.Suspicions(epoch) {
+		second.Merge(suspicion, epoch)
+	}
+	if got, want := second.State(1, epoch), quarantiner.Quarantined; got != want {
+		t.Errorf("crash of another host and one of its own: got state %d, want %d", got, want)
+	}
+	third := &quarantiner.Quarantiner{MaxSuspects: 8}
+	for _, host := range []*quarantiner.Quarantiner{first, second} {
+		for _, suspicion := range host.Suspicions(epoch) {
+			third.Merge(suspicion, epoch)
+		}
+	}
+	if got, want := third.State(1, epoch), quarantiner.Quarantined; got != want {
+		t.Errorf("crashes of two other hosts: got state %d, want %d", got, want)
+	}
+}
+
+// TestSimultaneousCrashes guards against a request that is quarantined because two hosts lost it when
+// a failure domain stopped.
+func TestSimultaneousCrashes(t *testing.T) {
+	host, other := &quarantiner.Quarantiner{MaxSuspects: 8}, &quarantiner.Quarantiner{MaxSuspects: 8}
+	for i := range 5 {
+		other.RecordCrash(1, string(rune('a'+i)), 1, false, expiry, epoch)
+		host.RecordCrash(1, string(rune('p'+i)), 1, false, expiry, epoch)
+	}
+	if got, want := len(other.Suspicions(epoch)), 1; got != want {
+		t.Errorf("suspicions to send: got %d, want %d", got, want)
+	}
+	for _, suspicion := range other.Suspicions(epoch) {
+		host.Merge(suspicion, epoch)
+	}
+	if got, want := host.State(1, epoch), quarantiner.Suspect; got != want {
+		t.Errorf("simultaneous crashes at two hosts: got state %d, want %d", got, want)
+	}
+}
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -79,18 +79,15 @@
 	return listener.Addr().String()
 }
 
-// TestSuspicionEnds guards against a dispatcher that spins after it has reported a suspicion.
-func TestSuspicionEnds(t *testing.T) {
-	defer goleak.VerifyNone(t)
+// newDispatcher returns a dispatcher that sends its reports of suspicions to a channel.
+func newDispatcher(clock wigeonspindle.Clock, reports chan<- wigeonspindle.Suspicion) *dispatcher.Dispatcher {
 	random := rand.New(rand.NewPCG(1, 2))
-	clock := &countingClock{}
-	reports := make(chan wigeonspindle.Suspicion, 8)
-	d := &dispatcher.Dispatcher{
+	return &dispatcher.Dispatcher{
 		Host: "h", Clock: clock, Dialect: dialect{}, Meter: meter{}, Logger: log.New(io.Discard),
 		ReportSuspicion: func(suspicion wigeonspindle.Suspicion) {
 			select {
 			case reports <- suspicion:
-			default: // The test needs one report only.
+			default: // The channel holds as many reports as the test needs.
 			}
 		},
 		Gatherer: &gatherer.Gatherer{
@@ -101,9 +98,11 @@
 			NewEstimator: func() wigeonspindle.LatencyEstimator { return &hedger.Estimator{} },
 		},
 	}
-	d.Run()
-	defer d.Close()
-	d.UpdateDeployment(&wigeonspindle.DeploymentState{
+}
+
+// orderDeployment returns a deployment whose only route sends each call to one replica, once.
+func orderDeployment(replicas ...*wigeonspindle.Replica) *wigeonspindle.DeploymentState {
+	return &wigeonspindle.DeploymentState{
 		RegistrySeen: time.Now(),
 		Catalog: &wigeonspindle.Catalog{
 			Version: 1, Pools: map[string]wigeonspindle.Pool{"pool": {Name: "pool", Connections: 10}},
@@ -112,8 +111,12 @@
 				Attempts: 2, Split: []wigeonspindle.Share{{Pool: "pool", Weight: 1}},
 			}},
 		},
-		Replicas: map[string][]*wigeonspindle.Replica{"pool": {{ID: "r", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2}}},
-	})
+		Replicas: map[string][]*wigeonspindle.Replica{"pool": replicas},
+	}
+}
+
+// crashReplica sends a call until a replica has crashed on it, and returns the reply.
+func crashReplica(d *dispatcher.Dispatcher) wigeonspindle.CallReply {
 	var reply wigeonspindle.CallReply
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		call := &wigeonspindle.Call{ID: "c", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
@@ -121,6 +124,19 @@
 			break // The deployment state has arrived and the replica has crashed.
 		}
 	}
+	return reply
+}
+
+// TestSuspicionEnds guards against a dispatcher that spins after it has reported a suspicion.
+func TestSuspicionEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	clock := &countingClock{}
+	reports := make(chan wigeonspindle.Suspicion, 8)
+	d := newDispatcher(clock, reports)
+	d.Run()
+	defer d.Close()
+	d.UpdateDeployment(orderDeployment(&wigeonspindle.Replica{ID: "r", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2}))
+	reply := crashReplica(d)
 	select {
 	case <-reports:
 	case <-time.After(waitTimeout):
@@ -132,3 +148,37 @@
 		t.Errorf("clock reads of an idle dispatcher in 100 ms: got %d, want at most %d", got, most)
 	}
 }
+
+// TestReportOfQuarantine guards against a quarantine of which the registry holds only the first
+// crash, because a delayed report replaces a later one.
+func TestReportOfQuarantine(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	reports := make(chan wigeonspindle.Suspicion, 8)
+	d := newDispatcher(&countingClock{}, reports)
+	d.Run()
+	defer d.Close()
+	d.UpdateDeployment(orderDeployment(
+		&wigeonspindle.Replica{ID: "r1", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2},
+		&wigeonspindle.Replica{ID: "r2", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2},
+	))
+	crashReplica(d)
+	crashReplica(d)
+	registry := make(map[string]wigeonspindle.Suspicion)
+	for settled := false; !settled; {
+		select {
+		case suspicion := <-reports:
+			registry[suspicion.Name()] = suspicion
+		case <-time.After(time.Second): // A report is delayed by half a second.
+			settled = true
+		}
+	}
+	other := &quarantiner.Quarantiner{MaxSuspects: 8}
+	var fingerprint uint64
+	for _, suspicion := range registry {
+		fingerprint = suspicion.Fingerprint
+		other.Merge(suspicion, time.Now())
+	}
+	if got, want := other.State(fingerprint, time.Now()), quarantiner.Quarantined; got != want {
+		t.Errorf("state at a host that reads the registry %+v: got %d, want %d", registry, got, want)
+	}
+}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -58,5 +58,5 @@
 
 // fingerprintName returns the name under which the hosts share suspicions against a call.
 func fingerprintName(p *pendingCall) string {
-	return wigeonspindle.Suspicion{Fingerprint: p.state.Fingerprint()}.Name()
+	return wigeonspindle.Suspicion{Fingerprint: p.state.Fingerprint()}.FingerprintName()
 }
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -15,20 +15,29 @@
 }
 
 // reportSuspicions logs suspicions about calls that crash replicas and reports them to the other
-// hosts: at once when the score reaches the threshold, otherwise after suspicionReportDelay if the
-// call is still suspected. A cleared suspicion is reported if the other hosts know of it.
+// hosts. A call that reaches the threshold is reported with all evidence at once; otherwise a
+// suspicion waits for suspicionReportDelay and is reported if it still holds. A withdrawal is reported
+// if the other hosts know of the suspicion.
 func (d *Dispatcher) reportSuspicions(suspicions []wigeonspindle.Suspicion, now time.Time) {
+	quarantine := d.Gatherer.Correlator.Quarantiner
 	for _, suspicion := range suspicions {
-		d.Logger.Warn("updated the suspicion that a call crashes replicas", "fingerprint", suspicion.Name(), "replica", suspicion.Target, "score", suspicion.Score,
-			"cleared", suspicion.Cleared, "quarantine_score", quarantiner.ScoreThreshold)
+		score := quarantine.Score(suspicion.Fingerprint, now)
+		d.Logger.Warn("updated the suspicion that a call crashes replicas", "fingerprint", suspicion.FingerprintName(), "replica", suspicion.Target,
+			"crash", suspicion.Crash, "crash_score", suspicion.Score, "cleared", suspicion.Cleared, "score", score, "quarantine_score", quarantiner.ScoreThreshold)
 		switch {
-		case suspicion.Cleared && !d.isShared(suspicion):
-			// The other hosts do not hold it.
-		case suspicion.Cleared || suspicion.Score >= quarantiner.ScoreThreshold:
-			d.ReportSuspicion(suspicion)
+		case suspicion.Cleared:
+			if d.isShared(suspicion) {
+				d.ReportSuspicion(suspicion)
+			}
+		case score >= quarantiner.ScoreThreshold:
+			for _, evidence := range quarantine.SuspicionsOf(suspicion.Fingerprint, now) {
+				if !d.isShared(evidence) {
+					d.ReportSuspicion(evidence)
+				}
+			}
 		default:
 			d.timers.AddOnce(now.Add(suspicionReportDelay), func(now time.Time) {
-				if d.Gatherer.IsSuspected(suspicion, now) {
+				if quarantine.Holds(suspicion, now) && !d.isShared(suspicion) {
 					d.ReportSuspicion(suspicion)
 				}
 			})
@@ -36,9 +45,9 @@
 	}
 }
 
-// isShared reports whether the registry holds a suspicion with the same fingerprint.
+// isShared reports whether the registry holds a suspicion.
 func (d *Dispatcher) isShared(suspicion wigeonspindle.Suspicion) bool {
 	return slices.ContainsFunc(d.deployment.Suspicions, func(known wigeonspindle.Suspicion) bool {
-		return known.Fingerprint == suspicion.Fingerprint
+		return known.Name() == suspicion.Name()
 	})
 }
--- a/internal/transport/launcher/suspicions.go
+++ b/internal/transport/launcher/suspicions.go
@@ -11,15 +11,17 @@
 // recordCrash counts a target's crash against a fingerprint and informs the cell.
 func (l *queryLoop) recordCrash(attempt *wigeonspindle.Attempt, outcome wigeonspindle.Outcome, now time.Time) {
 	rules := l.rules()
-	entry := l.quarantiner.RecordCrash(attempt.Fingerprint, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
-	l.broadcastSuspicion(entry)
-	l.stopQuarantined(entry, now)
+	entry, added := l.quarantiner.RecordCrash(attempt.Fingerprint, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
+	if added {
+		l.broadcastSuspicion(entry)
+		l.stopQuarantined(entry, now)
+	}
 }
 
 // clearSuspicion clears a fingerprint whose attempt completed alone on a target and informs the
 // cell.
 func (l *queryLoop) clearSuspicion(fingerprint uint64, target string, now time.Time) {
-	if entry, ok := l.quarantiner.RecordCompletion(fingerprint, target, now); ok {
+	for _, entry := range l.quarantiner.RecordCompletion(fingerprint, target, now) {
 		l.broadcastSuspicion(entry)
 	}
 }
--- a/lease.go
+++ b/lease.go
@@ -78,15 +78,26 @@
 	LeavingTargets []string // LeavingTargets names targets seen leaving or draining.
 }
 
-// Suspicion reports evidence that a fingerprint crashes targets.
+// Suspicion reports one crash as evidence that a fingerprint crashes targets. Each crash is a
+// suspicion of its own, so that hosts can add up what they have seen and none replaces the evidence
+// of another.
 type Suspicion struct {
 	Fingerprint uint64
-	Score       float64
-	Target      string
-	Expires     time.Time
-	// Cleared reports that a suspect completed alone on a target.
+	Crash       string // Crash identifies the crash among those of all hosts.
+	// Score is the weight of the crash as evidence: 1, divided by the number of requests that were
+	// lost with it.
+	Score   float64
+	Target  string
+	Expires time.Time
+	// Simultaneous reports that the target may have been lost together with others for another
+	// reason. All such suspicions against a fingerprint count as one crash.
+	Simultaneous bool
+	// Cleared withdraws the suspicion.
 	Cleared bool
 }
 
 // Name returns the name under which hosts share the suspicion.
-func (s Suspicion) Name() string { return fmt.Sprintf("%016x", s.Fingerprint) }
+func (s Suspicion) Name() string { return s.FingerprintName() + "/" + s.Crash }
+
+// FingerprintName returns the fingerprint as it appears in logs and names.
+func (s Suspicion) FingerprintName() string { return fmt.Sprintf("%016x", s.Fingerprint) }
