quarantiner: an answer withdraws only the evidence from its own pool

Callers saw: a search whose replicas crash in one shard is answered without that shard each time, and crashes two replicas of it at each attempt.

Cause: any answer to a call withdrew all evidence against it, and a search over many shards has answers of the other shards at each attempt. It was never quarantined.

Change: a suspicion names the pool (in the project's own interface the shard) of the lost target, and only an answer of that pool withdraws it or drops the record of a broken connection. A domain that stops still leaves no evidence, because the retries are answered by the same pools.

Evidence: TestCrashingOneShard and the new case of TestEvidence fail on the code before (four replicas crashed by two attempts, no quarantine). Other tests pass the pool in addition and check what they did.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -77,16 +77,16 @@
 // updateSuspicions adds the result of a send to the evidence against calls that crash replicas,
 // and returns the suspicions that follow.
 func (c *CallState) updateSuspicions(sent Send, exchange wigeonspindle.Exchange, now time.Time) []wigeonspindle.Suspicion {
-	correlator, fingerprint, replica := c.gatherer.Correlator, c.fingerprint, sent.Replica.ID
+	correlator, fingerprint, pool, replica := c.gatherer.Correlator, c.fingerprint, sent.Replica.Pool, sent.Replica.ID
 	switch {
 	case exchange.Response != nil && exchange.Response.Success():
 		correlator.RecordReachable(replica)
-		return correlator.RecordAnswer(fingerprint, replica, now)
+		return correlator.RecordAnswer(fingerprint, pool, replica, now)
 	case exchange.Response != nil:
 		correlator.RecordReachable(replica)
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		correlator.RecordBrokenConnection(fingerprint, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
+		correlator.RecordBrokenConnection(fingerprint, pool, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return correlator.RecordUnreachable(replica, now)
 	}
--- a/internal/coordination/gatherer/crash_test.go
+++ b/internal/coordination/gatherer/crash_test.go
@@ -85,3 +85,18 @@
 		}
 	}
 }
+
+// TestCrashingOneShard guards against a call that crashes the replicas of one shard at each attempt,
+// while the answers of the other shards withdraw the evidence.
+func TestCrashingOneShard(t *testing.T) {
+	h := newHarness(8)
+	inShard := func(replica *wigeonspindle.Replica) bool { return replica.Pool == "shard-3" }
+	first, _ := h.crash(t, 0, inShard)
+	second, reply := h.crash(t, 20*time.Second, inShard)
+	if got, want := first+second, 2; got > want {
+		t.Errorf("replicas crashed by two attempts: got %d, want at most %d", got, want)
+	}
+	if reply.Refusal == nil || reply.Refusal.Code != wigeonspindle.CodeQuarantined {
+		t.Errorf("second attempt: got %+v, want code quarantined", reply)
+	}
+}
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -32,7 +32,7 @@
 
 // CrashCorrelator attributes the crash of a target to the requests whose connection broke shortly
 // before the target became unreachable. A target that still answers has not crashed, and a
-// request that another target answers does not crash targets.
+// request that another target of the pool answers does not crash the targets of that pool.
 type CrashCorrelator struct {
 	Quarantiner *Quarantiner
 	// SuspicionTTL is how long a suspicion lasts without a further crash.
@@ -44,6 +44,7 @@
 // brokenRequest is a request whose connection broke before the response.
 type brokenRequest struct {
 	fingerprint uint64
+	pool        string
 	isolated    bool
 	brokenAt    time.Time
 }
@@ -51,7 +52,7 @@
 // RecordBrokenConnection records that the connection to a target broke while it ran a request.
 // Isolated means that the request has only one part or that this part was sent again, so that
 // its loss is not explained by the simultaneous loss of several targets.
-func (c *CrashCorrelator) RecordBrokenConnection(fingerprint uint64, target string, isolated bool, now time.Time) {
+func (c *CrashCorrelator) RecordBrokenConnection(fingerprint uint64, pool, target string, isolated bool, now time.Time) {
 	if c.brokenRequests == nil {
 		c.brokenRequests = make(map[string][]brokenRequest)
 	}
@@ -59,7 +60,7 @@
 	for len(requests) > 0 && (len(requests) >= maxBrokenRequests || now.Sub(requests[0].brokenAt) > crashWindow) {
 		requests = requests[1:]
 	}
-	c.brokenRequests[target] = append(requests, brokenRequest{fingerprint: fingerprint, isolated: isolated, brokenAt: now})
+	c.brokenRequests[target] = append(requests, brokenRequest{fingerprint: fingerprint, pool: pool, isolated: isolated, brokenAt: now})
 }
 
 // RecordReachable records that a target accepts connections or answers.
@@ -78,20 +79,20 @@
 	}
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
 	for fingerprint, request := range suspects {
-		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, target, len(suspects), request.isolated, c.SuspicionTTL, now); added {
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, request.pool, target, len(suspects), request.isolated, c.SuspicionTTL, now); added {
 			suspicions = append(suspicions, suspicion)
 		}
 	}
 	return suspicions
 }
 
-// RecordAnswer records that a target answered a request. It returns the withdrawn suspicions to
-// send to the other hosts.
-func (c *CrashCorrelator) RecordAnswer(fingerprint uint64, target string, now time.Time) []wigeonspindle.Suspicion {
+// RecordAnswer records that a target of a pool answered a request. It returns the withdrawn
+// suspicions to send to the other hosts.
+func (c *CrashCorrelator) RecordAnswer(fingerprint uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
 	for other, requests := range c.brokenRequests {
 		kept := requests[:0]
 		for _, request := range requests {
-			if request.fingerprint != fingerprint {
+			if request.fingerprint != fingerprint || request.pool != pool {
 				kept = append(kept, request)
 			}
 		}
@@ -99,7 +100,7 @@
 			delete(c.brokenRequests, other)
 		}
 	}
-	return c.Quarantiner.RecordCompletion(fingerprint, target, now)
+	return c.Quarantiner.RecordCompletion(fingerprint, pool, target, now)
 }
 
 // RetainTargets deletes the broken requests of all targets except the given ones.
--- a/internal/coordination/quarantiner/correlator_test.go
+++ b/internal/coordination/quarantiner/correlator_test.go
@@ -16,18 +16,18 @@
 		want quarantiner.State
 	}{
 		{"two targets crash one after the other", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "t1", true, epoch)
+			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch.Add(10*time.Millisecond))
-			c.RecordBrokenConnection(1, "t2", true, epoch.Add(time.Second))
+			c.RecordBrokenConnection(1, "p", "t2", true, epoch.Add(time.Second))
 			c.RecordUnreachable("t2", epoch.Add(time.Second))
 		}, quarantiner.Quarantined},
 		{"one target crashes", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "t1", true, epoch)
+			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch)
 		}, quarantiner.Suspect},
 		{"all targets of a request with many parts are lost at once", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3", "t4"} {
-				c.RecordBrokenConnection(1, target, false, epoch)
+				c.RecordBrokenConnection(1, "p", target, false, epoch)
 			}
 			for _, target := range []string{"t1", "t2", "t3", "t4"} {
 				c.RecordUnreachable(target, epoch)
@@ -35,33 +35,41 @@
 		}, quarantiner.Suspect},
 		{"the targets still answer", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
-				c.RecordBrokenConnection(1, target, true, epoch)
+				c.RecordBrokenConnection(1, "p", target, true, epoch)
 				c.RecordReachable(target)
 				c.RecordUnreachable(target, epoch)
 			}
 		}, quarantiner.Clear},
 		{"the targets are lost much later", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
-				c.RecordBrokenConnection(1, target, true, epoch)
+				c.RecordBrokenConnection(1, "p", target, true, epoch)
 				c.RecordUnreachable(target, epoch.Add(time.Minute))
 			}
 		}, quarantiner.Clear},
 		{"another target answers before the loss is known", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "t1", true, epoch)
-			c.RecordAnswer(1, "t2", epoch)
+			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
+			c.RecordAnswer(1, "p", "t2", epoch)
 			c.RecordUnreachable("t1", epoch)
 		}, quarantiner.Clear},
 		{"another target answers after the loss", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "t1", true, epoch)
+			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch)
-			if got := c.RecordAnswer(1, "t2", epoch); len(got) != 1 || !got[0].Cleared {
+			if got := c.RecordAnswer(1, "p", "t2", epoch); len(got) != 1 || !got[0].Cleared {
 				t.Errorf("cleared suspect: got the suspicions %+v to send, want a cleared one", got)
 			}
 		}, quarantiner.Clear},
+		{"the targets of one shard crash and those of another answer", func(c *quarantiner.CrashCorrelator) {
+			for _, target := range []string{"t1", "t2"} {
+				c.RecordBrokenConnection(1, "p", target, true, epoch)
+				c.RecordAnswer(1, "q", "t3", epoch)
+				c.RecordUnreachable(target, epoch)
+				c.RecordAnswer(1, "q", "t4", epoch)
+			}
+		}, quarantiner.Quarantined},
 		{"other requests ran on the same targets", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
 				for fingerprint := range uint64(4) {
-					c.RecordBrokenConnection(fingerprint, target, true, epoch)
+					c.RecordBrokenConnection(fingerprint, "p", target, true, epoch)
 				}
 				c.RecordUnreachable(target, epoch)
 			}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -52,7 +52,7 @@
 // flight. It returns the suspicion to send to the other hosts, and false when the crash adds nothing.
 // Attempts that were not isolated make a fingerprint at most suspect: when a failure domain stops, a
 // query of many shards loses many attempts at once.
-func (q *Quarantiner) RecordCrash(fingerprint uint64, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
+func (q *Quarantiner) RecordCrash(fingerprint uint64, pool, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
 	delete(q.successes, fingerprint)
 	delete(q.previousSuccesses, fingerprint)
 	for _, known := range q.lookup(fingerprint, now) {
@@ -66,7 +66,7 @@
 	q.crashCount++
 	suspicion := wigeonspindle.Suspicion{
 		Fingerprint: fingerprint, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
-		Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
+		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
 	}
 	q.store(suspicion, now)
 	return suspicion, true
@@ -88,18 +88,25 @@
 	}
 }
 
-// RecordCompletion clears a suspect fingerprint whose request completed on a target while no
-// other attempt ran there. It returns the withdrawn suspicions to send to the other hosts.
-func (q *Quarantiner) RecordCompletion(fingerprint uint64, target string, now time.Time) []wigeonspindle.Suspicion {
+// RecordCompletion withdraws the suspicions against a suspect fingerprint whose request completed on
+// a target of their pool while no other attempt ran there. It returns them, to be sent to the other
+// hosts.
+func (q *Quarantiner) RecordCompletion(fingerprint uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
 	if q.State(fingerprint, now) != Suspect {
 		return nil
 	}
-	var withdrawn []wigeonspindle.Suspicion
+	var withdrawn, kept []wigeonspindle.Suspicion
 	for _, suspicion := range q.suspects[fingerprint] {
+		if suspicion.Pool != pool {
+			kept = append(kept, suspicion)
+			continue
+		}
 		suspicion.Cleared, suspicion.Score, suspicion.Target = true, 0, target
 		withdrawn = append(withdrawn, suspicion)
 	}
-	delete(q.suspects, fingerprint)
+	if q.suspects[fingerprint] = kept; len(kept) == 0 {
+		delete(q.suspects, fingerprint)
+	}
 	return withdrawn
 }
 
--- a/internal/transport/launcher/outcomes.go
+++ b/internal/transport/launcher/outcomes.go
@@ -67,7 +67,7 @@
 	case outcome.Answered():
 		l.quarantiner.RecordSuccess(sent.attempt.Fingerprint, now)
 		if sent.attempt.Exclusive {
-			l.clearSuspicion(sent.attempt.Fingerprint, outcome.Target, now)
+			l.clearSuspicion(sent.attempt.Fingerprint, sent.attempt.Shard, outcome.Target, now)
 		}
 	default:
 		switch outcome.Code {
--- a/internal/transport/launcher/suspicions.go
+++ b/internal/transport/launcher/suspicions.go
@@ -11,17 +11,17 @@
 // recordCrash counts a target's crash against a fingerprint and informs the cell.
 func (l *queryLoop) recordCrash(attempt *wigeonspindle.Attempt, outcome wigeonspindle.Outcome, now time.Time) {
 	rules := l.rules()
-	entry, added := l.quarantiner.RecordCrash(attempt.Fingerprint, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
+	entry, added := l.quarantiner.RecordCrash(attempt.Fingerprint, attempt.Shard, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
 	if added {
 		l.broadcastSuspicion(entry)
 		l.stopQuarantined(entry, now)
 	}
 }
 
-// clearSuspicion clears a fingerprint whose attempt completed alone on a target and informs the
-// cell.
-func (l *queryLoop) clearSuspicion(fingerprint uint64, target string, now time.Time) {
-	for _, entry := range l.quarantiner.RecordCompletion(fingerprint, target, now) {
+// clearSuspicion clears a fingerprint whose attempt completed alone on a target of a shard and
+// informs the cell.
+func (l *queryLoop) clearSuspicion(fingerprint uint64, shard, target string, now time.Time) {
+	for _, entry := range l.quarantiner.RecordCompletion(fingerprint, shard, target, now) {
 		l.broadcastSuspicion(entry)
 	}
 }
--- a/lease.go
+++ b/lease.go
@@ -86,7 +86,10 @@
 	Crash       string // Crash identifies the crash among those of all hosts.
 	// Score is the weight of the crash as evidence: 1, divided by the number of requests that were
 	// lost with it.
-	Score   float64
+	Score float64
+	// Pool is the pool of the target, or its shard. An answer from another pool is no evidence that
+	// the call does not crash the targets of this one.
+	Pool    string
 	Target  string
 	Expires time.Time
 	// Simultaneous reports that the target may have been lost together with others for another
