--- a/internal/transport/watcher/reporter_test.go
+++ b/internal/transport/watcher/reporter_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -54,7 +55,7 @@
 	reporter := newReporter(r)
 	reporter.Run()
 	defer reporter.Close()
-	want := wigeonspindle.Suspicion{Fingerprint: 7, Score: 1}
+	want := wigeonspindle.Suspicion{Fingerprint: 7, Score: 1, Expires: time.Now().Add(time.Minute)}
 	reporter.Offer(want)
 	select {
 	case got := <-r.reported:
@@ -76,7 +77,7 @@
 	go func() {
 		defer close(done)
 		for i := range uint64(1000) {
-			reporter.Offer(wigeonspindle.Suspicion{Fingerprint: i})
+			reporter.Offer(wigeonspindle.Suspicion{Fingerprint: i, Expires: time.Now().Add(time.Minute)})
 		}
 		reporter.Close()
 	}()
@@ -86,3 +87,29 @@
 		t.Error("Offer and Close with a registry that hangs: got blocked, want excess reports dropped")
 	}
 }
+
+// TestReportAfterOutage guards against suspicions that the other hosts never learn of because the
+// registry was unavailable for some seconds.
+func TestReportAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &registry{failures: 30, reported: make(chan wigeonspindle.Suspicion, 8)}
+		reporter := newReporter(r)
+		reporter.Run()
+		defer reporter.Close()
+		expires := time.Now().Add(time.Hour)
+		for i := range uint64(3) {
+			reporter.Offer(wigeonspindle.Suspicion{Fingerprint: i, Crash: "a", Score: 1, Expires: expires})
+		}
+		withdrawn := wigeonspindle.Suspicion{Fingerprint: 0, Crash: "a", Expires: expires, Cleared: true}
+		reporter.Offer(withdrawn)
+		time.Sleep(time.Minute)
+		got := make(map[uint64]wigeonspindle.Suspicion)
+		for len(r.reported) > 0 {
+			suspicion := <-r.reported
+			got[suspicion.Fingerprint] = suspicion
+		}
+		if len(got) != 3 || !got[0].Cleared || got[1].Score != 1 || got[2].Score != 1 {
+			t.Errorf("reports after an outage: got %+v, want all three, the first withdrawn", got)
+		}
+	})
+}
