exchanger: notice a crash when several connections to the replica were open

Callers saw: orders that crash replicas were not recognised. A host that sends an order opens a new connection when the open one has been idle for a second, so it often has two.

Cause: after a broken request the pool dialled the replica, to find out whether it had crashed, only if no other connection was open. The idle ones end a moment later, and nobody asked then.

Change: the pool remembers that a request broke and dials when the last connection to the replica has ended. A replica that keeps its other connections is not dialled.

Ruled out: dialling at each broken request, which costs a connection and up to 6 ms of a slot at replicas that only reset some responses.

Evidence: TestCrashBesideIdleConnection fails on the code before (no dial) and passes.

--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,6 +47,18 @@
 	listener net.Listener
 	accepted atomic.Int32
 	requests atomic.Int32
+	mutex    sync.Mutex
+	conns    []net.Conn // conns holds all accepted connections.
+}
+
+// crash closes the listener and then all connections.
+func (s *target) crash() {
+	_ = s.listener.Close() // The target accepts no more connections even if this fails.
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close() // Some are closed already.
+	}
 }
 
 // newTarget starts a target. respond returns the bytes to send for a path, and whether to close
@@ -64,6 +77,9 @@
 				return
 			}
 			target.accepted.Add(1)
+			target.mutex.Lock()
+			target.conns = append(target.conns, conn)
+			target.mutex.Unlock()
 			go target.serve(conn, respond)
 		}
 	}()
@@ -350,3 +366,43 @@
 		t.Errorf("connections after a request with CloseAfterUse: got %d, want %d", got, want)
 	}
 }
+
+// TestCrashBesideIdleConnection guards against a crash that goes unnoticed because another
+// connection to the replica was still open when the request broke.
+func TestCrashBesideIdleConnection(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	hold := make(chan struct{})
+	s := newTarget(t, func(path string) (string, bool) {
+		switch path {
+		case "first":
+			<-hold
+		case "crash":
+			return "", true
+		}
+		return answer(path, ""), false
+	})
+	h := newHarness(t, s.listener.Addr().String())
+	h.send("first", 2)
+	h.send("second", 2)
+	h.wait(t, "second")
+	close(hold)
+	h.wait(t, "first") // Two connections are idle now.
+	h.send("crash", 2)
+	if got, want := h.wait(t, "crash").Code, wigeonspindle.CodeBroken; got != want {
+		t.Fatalf("code of the request that crashes the replica: got %q, want %q", got, want)
+	}
+	h.dialled = nil
+	s.crash()
+	timeout := time.After(waitTimeout)
+	for len(h.dialled) == 0 {
+		select {
+		case event := <-h.events.C():
+			h.pool.HandleEvent(event)
+		case <-timeout:
+			t.Fatal("dial of the replica after its last connection ended: got none, want one")
+		}
+	}
+	if h.dialled[0] {
+		t.Error("dial of the crashed replica: got accepted, want refused")
+	}
+}
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -34,6 +34,9 @@
 	opening map[*Connection]bool
 	waiting []*Job
 	removed bool // removed reports that the replica is no longer in the deployment state.
+	// broke reports that a connection broke while others were open. When these end too, the replica
+	// may have crashed.
+	broke bool
 }
 
 func (r *replicaConnections) size() int { return len(r.idle) + len(r.active) + len(r.opening) }
@@ -189,12 +192,20 @@
 	if expected && !event.Closed && event.Exchange.Response != nil {
 		p.assignNext(r, connection)
 	}
-	if event.Exchange.Code == wigeonspindle.CodeBroken && r.size() == 0 && !r.removed {
-		p.dial(r, connection.Replica) // Finds out whether the replica is still reachable.
+	if event.Exchange.Code == wigeonspindle.CodeBroken {
+		r.broke = true
 	}
+	p.checkReachable(r, connection.Replica)
 	p.OnResult(event.Job, event.Exchange, event.Err)
 }
 
+// checkReachable dials a replica to which a connection broke, once no connection to it is left.
+func (p *Pool) checkReachable(r *replicaConnections, replica *wigeonspindle.Replica) {
+	if r.broke && r.size() == 0 && !r.removed {
+		p.dial(r, replica)
+	}
+}
+
 // handleClosed processes the end of a connection, or its failure to open. Waiting jobs for which
 // no opening connection is left fail.
 func (p *Pool) handleClosed(r *replicaConnections, event Event) {
@@ -211,6 +222,7 @@
 		}
 	}
 	if !r.opening[connection] {
+		p.checkReachable(r, connection.Replica)
 		return
 	}
 	delete(r.opening, connection)
@@ -248,6 +260,7 @@
 func (p *Pool) dial(r *replicaConnections, replica *wigeonspindle.Replica) {
 	connection := &Connection{Replica: replica, Dialect: p.Dialect, Clock: p.Clock, Events: p.Events, Stop: p.Stop}
 	r.opening[connection] = true
+	r.broke = false // The outcome of the dial tells whether the replica is reachable.
 	connection.Run()
 }
 
