quarantiner: a sign of life counts only if it began after the crash

Callers saw: some crashes of a call were not counted, so it crashed more replicas before it was refused.

Cause: a response or an opened connection cleared all broken requests of its replica, also one that had been under way before the crash and was reported after it. Reading goroutines report independently, so that order is common when a replica runs two requests.

Change: a response clears the requests that broke before it was sent, and an opened connection those that broke before it was dialled. The pool dials to check a replica after it has passed on the broken result, so that a successful check clears it.

Evidence: the new case of TestEvidence fails with the old rule (state clear instead of quarantined) and passes. The case of targets that still answer passes the time at which they were asked.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -80,10 +80,10 @@
 	correlator, fingerprint, pool, replica := c.gatherer.Correlator, c.fingerprint, sent.Replica.Pool, sent.Replica.ID
 	switch {
 	case exchange.Response != nil && exchange.Response.Success():
-		correlator.RecordReachable(replica)
+		correlator.RecordReachable(replica, sent.SentAt)
 		return correlator.RecordAnswer(fingerprint, pool, replica, now)
 	case exchange.Response != nil:
-		correlator.RecordReachable(replica)
+		correlator.RecordReachable(replica, sent.SentAt)
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
 		correlator.RecordBrokenConnection(fingerprint, pool, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -195,11 +195,11 @@
 	return call.ConnectTime
 }
 
-// RecordReachability records whether a replica accepts connections. It returns the suspicions
-// that follow against calls that were running on the replica.
-func (g *Gatherer) RecordReachability(replica *wigeonspindle.Replica, accepted bool, now time.Time) []wigeonspindle.Suspicion {
+// RecordReachability records whether a replica accepted a connection that was dialled at a given
+// time. It returns the suspicions that follow against calls that were running on the replica.
+func (g *Gatherer) RecordReachability(replica *wigeonspindle.Replica, accepted bool, dialled, now time.Time) []wigeonspindle.Suspicion {
 	if accepted {
-		g.Correlator.RecordReachable(replica.ID)
+		g.Correlator.RecordReachable(replica.ID, dialled)
 		return nil
 	}
 	g.Selector.RecordUnreachable(replica, now)
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -63,8 +63,20 @@
 	c.brokenRequests[target] = append(requests, brokenRequest{fingerprint: fingerprint, pool: pool, isolated: isolated, brokenAt: now})
 }
 
-// RecordReachable records that a target accepts connections or answers.
-func (c *CrashCorrelator) RecordReachable(target string) { delete(c.brokenRequests, target) }
+// RecordReachable records that a target accepted a connection or answered a request that was started
+// at the given time. It clears the requests that broke before that time; what was under way when the
+// target crashed may still be reported after the crash.
+func (c *CrashCorrelator) RecordReachable(target string, started time.Time) {
+	kept := c.brokenRequests[target]
+	for len(kept) > 0 && !kept[0].brokenAt.After(started) {
+		kept = kept[1:]
+	}
+	if len(kept) == 0 {
+		delete(c.brokenRequests, target)
+		return
+	}
+	c.brokenRequests[target] = kept
+}
 
 // RecordUnreachable records that a target accepts no connections. It returns the suspicions
 // against the requests that the target ran last.
--- a/internal/coordination/quarantiner/correlator_test.go
+++ b/internal/coordination/quarantiner/correlator_test.go
@@ -36,10 +36,18 @@
 		{"the targets still answer", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
 				c.RecordBrokenConnection(1, "p", target, true, epoch)
-				c.RecordReachable(target)
+				c.RecordReachable(target, epoch.Add(time.Millisecond))
 				c.RecordUnreachable(target, epoch)
 			}
 		}, quarantiner.Clear},
+		{"the targets answer what they received before they crashed", func(c *quarantiner.CrashCorrelator) {
+			for i, target := range []string{"t1", "t2"} {
+				brokenAt := epoch.Add(time.Duration(i) * time.Second)
+				c.RecordBrokenConnection(1, "p", target, true, brokenAt)
+				c.RecordReachable(target, brokenAt.Add(-time.Millisecond))
+				c.RecordUnreachable(target, brokenAt.Add(10*time.Millisecond))
+			}
+		}, quarantiner.Quarantined},
 		{"the targets are lost much later", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
 				c.RecordBrokenConnection(1, "p", target, true, epoch)
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -8,10 +8,10 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
-// handleDial records whether a replica accepted a connection.
-func (d *Dispatcher) handleDial(replica *wigeonspindle.Replica, accepted bool) {
+// handleDial records whether a replica accepted a connection that was dialled at a given time.
+func (d *Dispatcher) handleDial(replica *wigeonspindle.Replica, accepted bool, dialled time.Time) {
 	now := d.Clock.Now()
-	d.reportSuspicions(d.Gatherer.RecordReachability(replica, accepted, now), now)
+	d.reportSuspicions(d.Gatherer.RecordReachability(replica, accepted, dialled, now), now)
 }
 
 // reportSuspicions logs suspicions about calls that crash replicas and reports them to the other
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -79,6 +79,7 @@
 	IdleSince  time.Time
 	ReuseUntil time.Time
 
+	dialled    time.Time // dialled is when Run was called.
 	jobs       *queuer.Ring[*Job]
 	conn       net.Conn
 	mutex      sync.Mutex
@@ -90,7 +91,7 @@
 
 // Run opens the connection in the background.
 func (c *Connection) Run() {
-	c.jobs = queuer.New[*Job](1)
+	c.jobs, c.dialled = queuer.New[*Job](1), c.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	c.cancel = cancel
 	c.goroutines.Add(1)
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -19,9 +19,9 @@
 	// CloseAfterUse closes each connection after its job. A host that rarely sends must not hold
 	// connections that count against the limits of the replicas.
 	CloseAfterUse bool
-	// OnDial is called when a replica has accepted a connection, and when a dial has failed unless
-	// the failure is the result of a job that waited for the connection.
-	OnDial func(replica *wigeonspindle.Replica, accepted bool)
+	// OnDial is called with the start of a dial when the replica has accepted the connection, and when
+	// the dial has failed unless the failure is the result of a job that waited for the connection.
+	OnDial func(replica *wigeonspindle.Replica, accepted bool, dialled time.Time)
 
 	replicas map[string]*replicaConnections
 	closing  map[*Connection]bool // closing holds aborted idle connections until they report their end.
@@ -175,7 +175,7 @@
 	switch {
 	case event.Opened:
 		delete(r.opening, connection)
-		p.OnDial(connection.Replica, true)
+		p.OnDial(connection.Replica, true, connection.dialled)
 		p.assignNext(r, connection)
 	case event.Job != nil:
 		p.handleResult(r, event)
@@ -195,8 +195,8 @@
 	if event.Exchange.Code == wigeonspindle.CodeBroken {
 		r.broke = true
 	}
-	p.checkReachable(r, connection.Replica)
 	p.OnResult(event.Job, event.Exchange, event.Err)
+	p.checkReachable(r, connection.Replica) // A dial tells something only if it starts after the result is recorded.
 }
 
 // checkReachable dials a replica to which a connection broke, once no connection to it is left.
@@ -227,7 +227,7 @@
 	}
 	delete(r.opening, connection)
 	if len(r.waiting) <= len(r.opening) {
-		p.OnDial(connection.Replica, false)
+		p.OnDial(connection.Replica, false, connection.dialled)
 	}
 	for len(r.waiting) > len(r.opening) {
 		job := r.waiting[0]
