quarantiner: recognise a crashing call that comes again with another query

Callers saw: a call that crashes replicas was taken again although a call on the same path from the same caller with the same body had been refused.

Cause: the fingerprint held the query.

Change: a call with a query has two fingerprints, with and without it, and is refused when either is quarantined. Ruled out: only the path, because with queries like /search/?q= the answers to other queries would withdraw the evidence each time; there the fingerprint with the query still counts. A request counts once among those that were lost with a replica, however many fingerprints it has.

Evidence: with the first fingerprint alone, which is what the code before had, TestFingerprints fails at "/search/x?page=3"; it passes now.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -20,7 +20,7 @@
 	Suspicions []wigeonspindle.Suspicion
 
 	gatherer      *Gatherer
-	fingerprint   uint64
+	fingerprints  []uint64
 	parts         []part
 	requiredParts int
 	answeredParts int
@@ -77,16 +77,16 @@
 // updateSuspicions adds the result of a send to the evidence against calls that crash replicas,
 // and returns the suspicions that follow.
 func (c *CallState) updateSuspicions(sent Send, exchange wigeonspindle.Exchange, now time.Time) []wigeonspindle.Suspicion {
-	correlator, fingerprint, pool, replica := c.gatherer.Correlator, c.fingerprint, sent.Replica.Pool, sent.Replica.ID
+	correlator, fingerprints, pool, replica := c.gatherer.Correlator, c.fingerprints, sent.Replica.Pool, sent.Replica.ID
 	switch {
 	case exchange.Response != nil && exchange.Response.Success():
 		correlator.RecordReachable(replica, sent.SentAt)
-		return correlator.RecordAnswer(fingerprint, pool, replica, now)
+		return correlator.RecordAnswer(fingerprints, pool, replica, now)
 	case exchange.Response != nil:
 		correlator.RecordReachable(replica, sent.SentAt)
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		correlator.RecordBrokenConnection(fingerprint, pool, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
+		correlator.RecordBrokenConnection(fingerprints, pool, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return correlator.RecordUnreachable(replica, now)
 	}
@@ -126,8 +126,8 @@
 // Decided reports whether the call was answered or cancelled.
 func (c *CallState) Decided() bool { return c.decided }
 
-// Fingerprint returns the hash under which the call is suspected of crashing replicas.
-func (c *CallState) Fingerprint() uint64 { return c.fingerprint }
+// Fingerprints returns the hashes under which the call is suspected of crashing replicas.
+func (c *CallState) Fingerprints() []uint64 { return c.fingerprints }
 
 // Coverage returns the number of answered parts and of all parts.
 func (c *CallState) Coverage() (answered, total int) { return c.answeredParts, len(c.parts) }
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -115,7 +115,7 @@
 
 // StartCall starts a call of a route and returns its first step.
 func (g *Gatherer) StartCall(call *wigeonspindle.Call, route *wigeonspindle.Route, deployment *wigeonspindle.DeploymentState, now time.Time) (*CallState, Step) {
-	state := &CallState{Call: call, Route: route, Deployment: deployment, gatherer: g, fingerprint: quarantiner.Fingerprint(call)}
+	state := &CallState{Call: call, Route: route, Deployment: deployment, gatherer: g, fingerprints: quarantiner.Fingerprints(call)}
 	roundTrip := call.RoundTrip
 	if roundTrip == 0 {
 		roundTrip = defaultRoundTrip
@@ -141,11 +141,10 @@
 		state.parts[i].pool = pool
 		g.Budget.RecordCall(pool, now)
 	}
-	quarantine := g.Correlator.Quarantiner
-	if quarantine.State(state.fingerprint, now) == quarantiner.Quarantined {
+	if until := g.Correlator.QuarantinedUntil(state.fingerprints, now); !until.IsZero() {
 		state.decided = true
 		reply := state.refusalReply(wigeonspindle.CodeQuarantined, "the call has crashed replicas")
-		reply.RetryAfter = quarantine.ExpiresAt(state.fingerprint, now).Sub(now)
+		reply.RetryAfter = until.Sub(now)
 		return state, Step{Reply: reply}
 	}
 	if !state.hasEnoughReplicas(now) {
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
 // part is the state of the part of a call that one shard answers, or of the whole call when a
@@ -31,7 +30,7 @@
 	p := &c.parts[index]
 	expected := c.expectedLatency(now)
 	replica, ok := c.gatherer.Selector.Pick(c.Deployment, p.pool, p.triedReplicas, expected, now)
-	if p.sendCount > 0 && c.gatherer.Correlator.Quarantiner.State(c.fingerprint, now) == quarantiner.Quarantined {
+	if p.sendCount > 0 && !c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
 		ok = false
 	}
 	if ok && p.sendCount > 0 && (p.possibleArrivals > 0 || len(p.inFlight) > 0) {
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,12 +19,22 @@
 	maxBrokenRequests = 64
 )
 
-// Fingerprint returns a hash of the parts of a call that stay the same when it is repeated: its
-// caller, method, authority, request URI and body.
-func Fingerprint(call *wigeonspindle.Call) uint64 {
+// Fingerprints returns hashes of the parts of a call that stay the same when it is repeated: its
+// caller, method, authority, request URI and body. A call with a query has a second fingerprint
+// without it, because a repeated call may carry another query; where the query makes the difference,
+// answers to other calls on the same path withdraw the suspicions against that one.
+func Fingerprints(call *wigeonspindle.Call) []uint64 {
+	fingerprints := []uint64{fingerprint(call, call.RequestURI)}
+	if path, _, ok := strings.Cut(call.RequestURI, "?"); ok {
+		fingerprints = append(fingerprints, fingerprint(call, path))
+	}
+	return fingerprints
+}
+
+func fingerprint(call *wigeonspindle.Call, uri string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, part := range []string{call.Caller, call.Method, call.Authority, call.RequestURI} {
+	for _, part := range []string{call.Caller, call.Method, call.Authority, uri} {
 		_, _ = digest.WriteString(part) // The digest never returns an error.
 		_, _ = digest.Write([]byte{0})
 	}
@@ -43,16 +55,16 @@
 
 // brokenRequest is a request whose connection broke before the response.
 type brokenRequest struct {
-	fingerprint uint64
-	pool        string
-	isolated    bool
-	brokenAt    time.Time
+	fingerprints []uint64 // fingerprints are those of the call; the first identifies it.
+	pool         string
+	isolated     bool
+	brokenAt     time.Time
 }
 
 // RecordBrokenConnection records that the connection to a target broke while it ran a request.
 // Isolated means that the request has only one part or that this part was sent again, so that
 // its loss is not explained by the simultaneous loss of several targets.
-func (c *CrashCorrelator) RecordBrokenConnection(fingerprint uint64, pool, target string, isolated bool, now time.Time) {
+func (c *CrashCorrelator) RecordBrokenConnection(fingerprints []uint64, pool, target string, isolated bool, now time.Time) {
 	if c.brokenRequests == nil {
 		c.brokenRequests = make(map[string][]brokenRequest)
 	}
@@ -60,7 +72,7 @@
 	for len(requests) > 0 && (len(requests) >= maxBrokenRequests || now.Sub(requests[0].brokenAt) > crashWindow) {
 		requests = requests[1:]
 	}
-	c.brokenRequests[target] = append(requests, brokenRequest{fingerprint: fingerprint, pool: pool, isolated: isolated, brokenAt: now})
+	c.brokenRequests[target] = append(requests, brokenRequest{fingerprints: fingerprints, pool: pool, isolated: isolated, brokenAt: now})
 }
 
 // RecordReachable records that a target accepted a connection or answered a request that was started
@@ -83,15 +95,20 @@
 func (c *CrashCorrelator) RecordUnreachable(target string, now time.Time) []wigeonspindle.Suspicion {
 	requests := c.brokenRequests[target]
 	delete(c.brokenRequests, target)
+	calls := make(map[uint64]bool)
 	suspects := make(map[uint64]brokenRequest)
 	for _, request := range requests {
-		if now.Sub(request.brokenAt) <= crashWindow {
-			suspects[request.fingerprint] = request
+		if now.Sub(request.brokenAt) > crashWindow {
+			continue
+		}
+		calls[request.fingerprints[0]] = true
+		for _, fingerprint := range request.fingerprints {
+			suspects[fingerprint] = request
 		}
 	}
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
 	for fingerprint, request := range suspects {
-		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, request.pool, target, len(suspects), request.isolated, c.SuspicionTTL, now); added {
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, request.pool, target, len(calls), request.isolated, c.SuspicionTTL, now); added {
 			suspicions = append(suspicions, suspicion)
 		}
 	}
@@ -100,11 +117,11 @@
 
 // RecordAnswer records that a target of a pool answered a request. It returns the withdrawn
 // suspicions to send to the other hosts.
-func (c *CrashCorrelator) RecordAnswer(fingerprint uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
+func (c *CrashCorrelator) RecordAnswer(fingerprints []uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
 	for other, requests := range c.brokenRequests {
 		kept := requests[:0]
 		for _, request := range requests {
-			if request.fingerprint != fingerprint || request.pool != pool {
+			if request.pool != pool || !slices.Contains(fingerprints, request.fingerprints[0]) {
 				kept = append(kept, request)
 			}
 		}
@@ -112,7 +129,26 @@
 			delete(c.brokenRequests, other)
 		}
 	}
-	return c.Quarantiner.RecordCompletion(fingerprint, pool, target, now)
+	var withdrawn []wigeonspindle.Suspicion
+	for _, fingerprint := range fingerprints {
+		withdrawn = append(withdrawn, c.Quarantiner.RecordCompletion(fingerprint, pool, target, now)...)
+	}
+	return withdrawn
+}
+
+// QuarantinedUntil returns until when a call with these fingerprints is refused, or the zero time when
+// it is not.
+func (c *CrashCorrelator) QuarantinedUntil(fingerprints []uint64, now time.Time) time.Time {
+	var until time.Time
+	for _, fingerprint := range fingerprints {
+		if c.Quarantiner.State(fingerprint, now) != Quarantined {
+			continue
+		}
+		if expiresAt := c.Quarantiner.ExpiresAt(fingerprint, now); expiresAt.After(until) {
+			until = expiresAt
+		}
+	}
+	return until
 }
 
 // RetainTargets deletes the broken requests of all targets except the given ones.
--- a/internal/coordination/quarantiner/correlator_test.go
+++ b/internal/coordination/quarantiner/correlator_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
@@ -16,18 +17,18 @@
 		want quarantiner.State
 	}{
 		{"two targets crash one after the other", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
+			c.RecordBrokenConnection([]uint64{1}, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch.Add(10*time.Millisecond))
-			c.RecordBrokenConnection(1, "p", "t2", true, epoch.Add(time.Second))
+			c.RecordBrokenConnection([]uint64{1}, "p", "t2", true, epoch.Add(time.Second))
 			c.RecordUnreachable("t2", epoch.Add(time.Second))
 		}, quarantiner.Quarantined},
 		{"one target crashes", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
+			c.RecordBrokenConnection([]uint64{1}, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch)
 		}, quarantiner.Suspect},
 		{"all targets of a request with many parts are lost at once", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3", "t4"} {
-				c.RecordBrokenConnection(1, "p", target, false, epoch)
+				c.RecordBrokenConnection([]uint64{1}, "p", target, false, epoch)
 			}
 			for _, target := range []string{"t1", "t2", "t3", "t4"} {
 				c.RecordUnreachable(target, epoch)
@@ -35,7 +36,7 @@
 		}, quarantiner.Suspect},
 		{"the targets still answer", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
-				c.RecordBrokenConnection(1, "p", target, true, epoch)
+				c.RecordBrokenConnection([]uint64{1}, "p", target, true, epoch)
 				c.RecordReachable(target, epoch.Add(time.Millisecond))
 				c.RecordUnreachable(target, epoch)
 			}
@@ -43,41 +44,41 @@
 		{"the targets answer what they received before they crashed", func(c *quarantiner.CrashCorrelator) {
 			for i, target := range []string{"t1", "t2"} {
 				brokenAt := epoch.Add(time.Duration(i) * time.Second)
-				c.RecordBrokenConnection(1, "p", target, true, brokenAt)
+				c.RecordBrokenConnection([]uint64{1}, "p", target, true, brokenAt)
 				c.RecordReachable(target, brokenAt.Add(-time.Millisecond))
 				c.RecordUnreachable(target, brokenAt.Add(10*time.Millisecond))
 			}
 		}, quarantiner.Quarantined},
 		{"the targets are lost much later", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
-				c.RecordBrokenConnection(1, "p", target, true, epoch)
+				c.RecordBrokenConnection([]uint64{1}, "p", target, true, epoch)
 				c.RecordUnreachable(target, epoch.Add(time.Minute))
 			}
 		}, quarantiner.Clear},
 		{"another target answers before the loss is known", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
-			c.RecordAnswer(1, "p", "t2", epoch)
+			c.RecordBrokenConnection([]uint64{1}, "p", "t1", true, epoch)
+			c.RecordAnswer([]uint64{1}, "p", "t2", epoch)
 			c.RecordUnreachable("t1", epoch)
 		}, quarantiner.Clear},
 		{"another target answers after the loss", func(c *quarantiner.CrashCorrelator) {
-			c.RecordBrokenConnection(1, "p", "t1", true, epoch)
+			c.RecordBrokenConnection([]uint64{1}, "p", "t1", true, epoch)
 			c.RecordUnreachable("t1", epoch)
-			if got := c.RecordAnswer(1, "p", "t2", epoch); len(got) != 1 || !got[0].Cleared {
+			if got := c.RecordAnswer([]uint64{1}, "p", "t2", epoch); len(got) != 1 || !got[0].Cleared {
 				t.Errorf("cleared suspect: got the suspicions %+v to send, want a cleared one", got)
 			}
 		}, quarantiner.Clear},
 		{"the targets of one shard crash and those of another answer", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2"} {
-				c.RecordBrokenConnection(1, "p", target, true, epoch)
-				c.RecordAnswer(1, "q", "t3", epoch)
+				c.RecordBrokenConnection([]uint64{1}, "p", target, true, epoch)
+				c.RecordAnswer([]uint64{1}, "q", "t3", epoch)
 				c.RecordUnreachable(target, epoch)
-				c.RecordAnswer(1, "q", "t4", epoch)
+				c.RecordAnswer([]uint64{1}, "q", "t4", epoch)
 			}
 		}, quarantiner.Quarantined},
 		{"other requests ran on the same targets", func(c *quarantiner.CrashCorrelator) {
 			for _, target := range []string{"t1", "t2", "t3"} {
 				for fingerprint := range uint64(4) {
-					c.RecordBrokenConnection(fingerprint, "p", target, true, epoch)
+					c.RecordBrokenConnection([]uint64{fingerprint}, "p", target, true, epoch)
 				}
 				c.RecordUnreachable(target, epoch)
 			}
@@ -92,3 +93,44 @@
 		})
 	}
 }
+
+// TestFingerprints guards against a call that is not recognised when it comes again with another
+// query, and against a call that is taken for another one on the same path.
+func TestFingerprints(t *testing.T) {
+	call := func(uri string) *wigeonspindle.Call {
+		return &wigeonspindle.Call{Caller: "10.0.0.1", Method: "GET", Authority: "shop.example", RequestURI: uri}
+	}
+	crash := func(c *quarantiner.CrashCorrelator, uri, target string) {
+		c.RecordBrokenConnection(quarantiner.Fingerprints(call(uri)), "p", target, true, epoch)
+		c.RecordUnreachable(target, epoch)
+	}
+	quarantined := func(c *quarantiner.CrashCorrelator, uri string) bool {
+		return !c.QuarantinedUntil(quarantiner.Fingerprints(call(uri)), epoch).IsZero()
+	}
+	newCorrelator := func() *quarantiner.CrashCorrelator {
+		return &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: 8}, SuspicionTTL: expiry}
+	}
+
+	c := newCorrelator()
+	crash(c, "/search/x", "t1")
+	crash(c, "/search/x?page=2", "t2")
+	for _, uri := range []string{"/search/x", "/search/x?page=3"} {
+		if got, want := quarantined(c, uri), true; got != want {
+			t.Errorf("%s after crashes with other queries: got quarantined %t, want %t", uri, got, want)
+		}
+	}
+	if got, want := quarantined(c, "/search/y"), false; got != want {
+		t.Errorf("another path: got quarantined %t, want %t", got, want)
+	}
+
+	c = newCorrelator()
+	for _, target := range []string{"t1", "t2"} {
+		crash(c, "/search/?q=crash", target)
+		c.RecordAnswer(quarantiner.Fingerprints(call("/search/?q=other")), "p", "t3", epoch)
+	}
+	for uri, want := range map[string]bool{"/search/?q=crash": true, "/search/?q=other": false} {
+		if got := quarantined(c, uri); got != want {
+			t.Errorf("%s on a path where other queries are answered: got quarantined %t, want %t", uri, got, want)
+		}
+	}
+}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strings"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -21,7 +22,7 @@
 		fields = append(fields, "status", exchange.Response.Status)
 	}
 	if exchange.Code == wigeonspindle.CodeBroken {
-		fields = append(fields, "fingerprint", fingerprintName(p))
+		fields = append(fields, "fingerprint", fingerprintNames(p))
 	}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
@@ -47,7 +48,7 @@
 	if reply.Refusal != nil {
 		outcome = string(reply.Refusal.Code)
 		if reply.Refusal.Code == wigeonspindle.CodeQuarantined {
-			fields = append(fields, "fingerprint", fingerprintName(p))
+			fields = append(fields, "fingerprint", fingerprintNames(p))
 		}
 		fields = append(fields, "verdict", reply.Refusal.Verdict, "reason", reply.Refusal.Message,
 			"retry_after", reply.RetryAfter, "registry_state_age", now.Sub(d.deployment.RegistrySeen))
@@ -56,7 +57,11 @@
 	d.Logger.Info("replied to call", append(fields, "outcome", outcome)...)
 }
 
-// fingerprintName returns the name under which the hosts share suspicions against a call.
-func fingerprintName(p *pendingCall) string {
-	return wigeonspindle.Suspicion{Fingerprint: p.state.Fingerprint()}.FingerprintName()
+// fingerprintNames returns the names under which the hosts share suspicions against a call.
+func fingerprintNames(p *pendingCall) string {
+	var names []string
+	for _, fingerprint := range p.state.Fingerprints() {
+		names = append(names, wigeonspindle.Suspicion{Fingerprint: fingerprint}.FingerprintName())
+	}
+	return strings.Join(names, ",")
 }
