quarantiner: four crashes suffice whatever else was lost with them

Callers saw: under load a call crashed eight replicas and more before it was refused.

Cause: a crash weighs 1 divided by the number of requests of this host that were lost with it, and the threshold is 2. With three other requests in flight each time, a call needs eight crashes; the users' rule ends after six.

Change: the fourth crash quarantines a call whatever its weight. Requests that only ran beside it are answered between the crashes, which withdraws the evidence. Three shared crashes still do not suffice (TestEvidence, as before).

Evidence: the new case of TestEvidence fails on the code before (state suspect) and passes.

--- a/internal/coordination/quarantiner/correlator_test.go
+++ b/internal/coordination/quarantiner/correlator_test.go
@@ -83,6 +83,15 @@
 				c.RecordUnreachable(target, epoch)
 			}
 		}, quarantiner.Suspect},
+		{"each crash loses other requests too", func(c *quarantiner.CrashCorrelator) {
+			for i, target := range []string{"t1", "t2", "t3", "t4"} {
+				c.RecordBrokenConnection([]uint64{1}, "p", target, true, epoch)
+				for other := range uint64(3) {
+					c.RecordBrokenConnection([]uint64{100*uint64(i+1) + other}, "p", target, true, epoch)
+				}
+				c.RecordUnreachable(target, epoch)
+			}
+		}, quarantiner.Quarantined},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: 8}, SuspicionTTL: expiry}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -17,6 +17,9 @@
 	// each had one isolated attempt in flight, so that a target that fails for another reason does
 	// not quarantine a request.
 	ScoreThreshold = 2
+	// crashThreshold is the number of crashes at which a fingerprint is quarantined whatever else was
+	// lost with it. Requests that only ran beside a crashing one are answered between two crashes.
+	crashThreshold = 4
 	// maxCrashes bounds the crashes that are kept for a fingerprint. More add nothing once it is
 	// quarantined.
 	maxCrashes = 16
@@ -181,19 +184,25 @@
 // Len returns the number of suspect and quarantined fingerprints.
 func (q *Quarantiner) Len() int { return len(q.suspects) }
 
-// score returns the evidence of several crashes. Simultaneous ones count like the weightiest of
-// them.
+// score returns the evidence of several crashes: the sum of their weights, and at least
+// ScoreThreshold for crashThreshold crashes. Simultaneous ones count as one, with the largest of
+// their weights.
 func score(crashes []wigeonspindle.Suspicion) float64 {
-	total, simultaneous := 0.0, 0.0
+	total, simultaneous, count := 0.0, 0.0, 0
 	for _, known := range crashes {
 		if known.Simultaneous {
 			simultaneous = max(simultaneous, known.Score)
 			continue
 		}
 		total += known.Score
+		count++
+	}
+	if simultaneous > 0 {
+		total += simultaneous
+		count++
 	}
 	const rounding = 1e-9 // Absorbs rounding of the fractions.
-	if total += simultaneous; total >= ScoreThreshold-rounding {
+	if total >= ScoreThreshold-rounding || count >= crashThreshold {
 		return max(total, ScoreThreshold)
 	}
 	return total
