gatherer: a suspected search is sent to one replica first

Callers saw: a search that crashes replicas took down one replica of every shard with each attempt until it was refused.

Cause: the first sends of a wide call count as one crash, because they may be lost together for another reason, and a retry gives the second. Without a retry (the budget is used up, or no other replica is left) the call stays suspected, and a suspected call was sent to all shards again.

Change: a suspected call holds its parts back and sends one, first to a pool whose replicas crashed. Once a part is answered the others follow; a broken connection is followed by the next send only after the time of a crash check, and that crash counts as isolated. Innocent suspects pay the time of one part, once: the answer withdraws the suspicion.

TestSuspectedSearchAnswered checks that a suspect whose replicas are back is answered whole. The harness now counts the replicas of all sends that were made, also those after the result that decides the call.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -27,6 +27,8 @@
 	failedParts   int
 	mayHaveRun    bool
 	decided       bool
+	heldParts     []int     // heldParts are the parts of a suspected call that wait for the answer to another one.
+	resumeAt      time.Time // resumeAt is when a call with held parts may send again after a connection broke.
 	nextTick      time.Time // nextTick is when Tick must be called; it may be earlier than necessary.
 	brokenSends   int       // brokenSends counts the sends whose connection broke.
 	Hedges        int       // Hedges and Retries count the sends after the first of each part.
@@ -70,6 +72,7 @@
 		c.handleFailedSend(sent.PartIndex, now, &step)
 		c.nextTick = c.partNextTick(p, c.nextTick, now)
 	}
+	c.advanceHeldParts(now, &step)
 	c.decide(now, &step)
 	return step
 }
@@ -86,7 +89,12 @@
 		correlator.RecordReachable(replica, sent.SentAt)
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		correlator.RecordBrokenConnection(fingerprints, pool, replica, len(c.parts) == 1 || sent.Kind != wigeonspindle.SendFirst, now)
+		isolated := len(c.parts) == 1 || c.holding() || sent.Kind != wigeonspindle.SendFirst
+		correlator.RecordBrokenConnection(fingerprints, pool, replica, isolated, now)
+		if c.holding() {
+			c.resumeAt = now.Add(c.crashCheckDelay(now))
+			c.nextTick = earlier(c.nextTick, c.resumeAt)
+		}
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return correlator.RecordUnreachable(replica, now)
 	}
@@ -115,6 +123,7 @@
 			c.sendPart(i, wigeonspindle.SendHedge, now, &step)
 		}
 	}
+	c.advanceHeldParts(now, &step)
 	c.nextTick = c.computeNextTick(now)
 	c.decide(now, &step)
 	return step
@@ -193,6 +202,9 @@
 	if now.Before(c.SoftDeadline) {
 		next = earlier(next, c.SoftDeadline)
 	}
+	if c.holding() && now.Before(c.resumeAt) {
+		next = earlier(next, c.resumeAt)
+	}
 	for i := range c.parts {
 		next = c.partNextTick(&c.parts[i], next, now)
 	}
--- /dev/null
+++ b/internal/coordination/gatherer/canary.go
@@ -0,0 +1,75 @@
+package gatherer
+
+import (
+	"slices"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
+)
+
+// holdParts holds back all parts of a suspected call, so that advanceHeldParts sends one at a time
+// until one is answered: a call over many shards would otherwise crash a replica of each of them.
+// The parts of the pools whose replicas crashed are first in line.
+func (c *CallState) holdParts(now time.Time) {
+	if len(c.parts) == 1 {
+		return
+	}
+	quarantine := c.gatherer.Correlator.Quarantiner
+	suspectedPools := make(map[string]bool)
+	for _, fingerprint := range c.fingerprints {
+		if quarantine.State(fingerprint, now) != quarantiner.Suspect {
+			continue
+		}
+		for _, suspicion := range quarantine.SuspicionsOf(fingerprint, now) {
+			suspectedPools[suspicion.Pool] = true
+		}
+	}
+	if len(suspectedPools) == 0 {
+		return
+	}
+	var others []int
+	for i := range c.parts {
+		switch {
+		case c.parts[i].failed:
+		case suspectedPools[c.parts[i].pool]:
+			c.heldParts = append(c.heldParts, i)
+		default:
+			others = append(others, i)
+		}
+	}
+	c.heldParts = append(c.heldParts, others...)
+}
+
+// holding reports whether parts wait for the answer to another part.
+func (c *CallState) holding() bool { return len(c.heldParts) > 0 }
+
+// advanceHeldParts sends the held parts once a part has been answered. Until then it sends the next
+// one when no other is undecided and the crash check of the last one has had its time, and drops them
+// all when the call is quarantined meanwhile.
+func (c *CallState) advanceHeldParts(now time.Time, step *Step) {
+	advanced := false
+	for c.holding() && (c.answeredParts > 0 || !now.Before(c.resumeAt) && !c.hasUndecidedSentPart()) {
+		index := c.heldParts[0]
+		c.heldParts = c.heldParts[1:]
+		advanced = true
+		if c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
+			c.sendPart(index, wigeonspindle.SendFirst, now, step)
+		} else {
+			c.failPart(&c.parts[index])
+		}
+	}
+	if advanced {
+		c.nextTick = c.computeNextTick(now)
+	}
+}
+
+// hasUndecidedSentPart reports whether a part that is not held has neither been answered nor failed.
+func (c *CallState) hasUndecidedSentPart() bool {
+	for i := range c.parts {
+		if p := &c.parts[i]; p.response == nil && !p.failed && !slices.Contains(c.heldParts, i) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/gatherer/crash_test.go
+++ b/internal/coordination/gatherer/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 )
 
@@ -27,7 +28,7 @@
 			continue
 		}
 		step = gatherer.Step{NextTick: nextTick}
-		for _, send := range sends {
+		for _, send := range sends { // All of them were made, also if an early result decides the call.
 			exchange := part(send.Replica.ID, time.Millisecond)
 			if crashes(send.Replica) {
 				exchange = broken
@@ -40,9 +41,11 @@
 			step.Sends, step.NextTick = append(step.Sends, next.Sends...), next.NextTick
 			if next.Reply != nil {
 				step.Reply = next.Reply
-				return crashed, step.Reply
 			}
 		}
+		if step.Reply != nil {
+			return crashed, step.Reply
+		}
 	}
 	return crashed, step.Reply
 }
@@ -100,3 +103,40 @@
 		t.Errorf("second attempt: got %+v, want code quarantined", reply)
 	}
 }
+
+// TestSuspectedSearch guards against a search that crashes a replica of every shard, or again and
+// again one of the same shard, while it is suspected but not yet quarantined.
+func TestSuspectedSearch(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		crashes func(replica *wigeonspindle.Replica) bool
+		want    []int // want holds the largest number of replicas that each attempt may crash.
+	}{
+		{"all shards", func(*wigeonspindle.Replica) bool { return true }, []int{8, 1, 0}},
+		{"one shard", func(replica *wigeonspindle.Replica) bool { return replica.Pool == "shard-3" }, []int{1, 1, 0}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(8)
+			h.Budget = &budgeter.Budgeter{Window: 10 * time.Second} // Without retries, one attempt gives too little evidence.
+			for i, want := range test.want {
+				if got, _ := h.crash(t, time.Duration(i)*20*time.Second, test.crashes); got > want {
+					t.Errorf("replicas crashed by attempt %d: got %d, want at most %d", i+1, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestSuspectedSearchAnswered guards against a search that stays incomplete because it was once
+// lost with replicas that crashed for another reason.
+func TestSuspectedSearchAnswered(t *testing.T) {
+	h := newHarness(8)
+	h.Budget = &budgeter.Budgeter{Window: 10 * time.Second}
+	h.crash(t, 0, func(*wigeonspindle.Replica) bool { return true })
+	for i := range 2 {
+		crashed, reply := h.crash(t, time.Duration(i+1)*20*time.Second, func(*wigeonspindle.Replica) bool { return false })
+		if crashed != 0 || reply.Merged == nil || reply.Merged.MissingShards != 0 {
+			t.Errorf("attempt %d after the crash: got %+v, want an answer without missing shards", i+1, reply)
+		}
+	}
+}
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -63,9 +63,10 @@
 	// standbySlackDivisor divides the slack of a budget for the standby hosts: together they use
 	// this many times less of it than the serving hosts. They get few calls but are numerous.
 	standbySlackDivisor = 4
-	// minSerialRetryDelay is the lower bound of the time for which the other parts wait while a
-	// call retries one part at a time.
-	minSerialRetryDelay = 2 * time.Millisecond
+	// minCrashCheckDelay is the lower bound of the time for which a call that may crash replicas
+	// waits after a broken connection: about a round trip, in which a crashed replica refuses another
+	// connection.
+	minCrashCheckDelay = 2 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller should retry, so that an
 	// overload can pass or a replica can become usable first. A random part of retryAfterJitter
 	// is added, so that refused callers do not all retry at once.
@@ -162,11 +163,11 @@
 			state.SkippedParts++
 		}
 	}
-	for i := range state.parts {
-		if state.parts[i].failed {
-			continue
-		}
-		state.sendPart(i, wigeonspindle.SendFirst, now, &step)
+	state.holdParts(now)
+	if state.holding() {
+		state.advanceHeldParts(now, &step)
+	} else {
+		state.sendFirst(now, &step)
 	}
 	state.nextTick = state.computeNextTick(now)
 	state.decide(now, &step)
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -24,6 +24,15 @@
 	lastRefused      bool // lastRefused reports that the last failure was a refusal by a replica.
 }
 
+// sendFirst makes the first send of each part that is not skipped.
+func (c *CallState) sendFirst(now time.Time, step *Step) {
+	for i := range c.parts {
+		if !c.parts[i].failed {
+			c.sendPart(i, wigeonspindle.SendFirst, now, step)
+		}
+	}
+}
+
 // sendPart sends a part to a replica. If it cannot be sent, it fails, unless a send is in flight
 // or a retry is scheduled.
 func (c *CallState) sendPart(index int, kind wigeonspindle.SendKind, now time.Time, step *Step) {
@@ -87,14 +96,24 @@
 // and delays the other retries.
 func (c *CallState) retryPart(index int, now time.Time, step *Step) {
 	p := &c.parts[index]
+	if c.holding() && now.Before(c.resumeAt) {
+		p.retryAt, p.waitingForOther = c.resumeAt, true
+		return
+	}
 	p.waitingForOther = c.brokenSends >= serialRetryThreshold && c.answeredParts == 0 && c.hasRepeatInFlight()
 	if p.waitingForOther {
-		p.retryAt = now.Add(max(c.expectedLatency(now)/2, minSerialRetryDelay))
+		p.retryAt = now.Add(c.crashCheckDelay(now))
 		return
 	}
 	c.sendPart(index, wigeonspindle.SendRetry, now, step)
 }
 
+// crashCheckDelay returns the time after a broken connection in which the host finds out whether the
+// replica has crashed.
+func (c *CallState) crashCheckDelay(now time.Time) time.Duration {
+	return max(c.expectedLatency(now)/2, minCrashCheckDelay)
+}
+
 // hasRepeatInFlight reports whether a retry or a hedge is in flight.
 func (c *CallState) hasRepeatInFlight() bool {
 	for i := range c.parts {
