quarantiner: withdraw suspicions that the registry no longer holds

Callers would see: a call is refused for two crashes of which one had been withdrawn by the host that had seen it, because a suspicion is now added to those of other hosts.

Cause: hosts merged the entries of the registry and never removed them, and an entry that this host had just withdrawn was merged again from the state before.

Change: the quarantiner compares the entries with those of the last update: new ones are merged, missing ones withdrawn. A quarantine does not end when entries vanish, because the registry may lose entries with the lease of a host.

Evidence: with the former loop in place of Sync, TestSync fails at both withdrawals; it passes now.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -245,7 +245,5 @@
 	g.Throttler.Prune(used)
 	g.Selector.Retain(known)
 	g.Correlator.RetainTargets(known)
-	for _, suspicion := range deployment.Suspicions {
-		g.Correlator.Quarantiner.Merge(suspicion, now)
-	}
+	g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
 }
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -45,6 +45,7 @@
 	MaxSuspects, MinSuccesses int
 
 	suspects          map[uint64][]wigeonspindle.Suspicion // suspects holds the crashes of each fingerprint, the oldest first.
+	shared            map[string]bool                      // shared holds the names of the suspicions of the last Sync.
 	crashCount        uint64                               // crashCount numbers the crashes that this host has seen.
 	successes         map[uint64]bool
 	previousSuccesses map[uint64]bool // previousSuccesses holds the successes before rotatedAt.
@@ -91,6 +92,27 @@
 	}
 }
 
+// Sync applies the suspicions that the registry holds now. Those that it held before and no longer
+// holds are withdrawn. One that this host has withdrawn does not return while the registry still
+// holds it.
+func (q *Quarantiner) Sync(held []wigeonspindle.Suspicion, now time.Time) {
+	shared := make(map[string]bool, len(held))
+	for _, suspicion := range held {
+		name := suspicion.Name()
+		shared[name] = true
+		if !q.shared[name] {
+			q.Merge(suspicion, now)
+		}
+	}
+	for _, suspicion := range q.Suspicions(now) {
+		if name := suspicion.Name(); q.shared[name] && !shared[name] {
+			suspicion.Cleared = true
+			q.Merge(suspicion, now)
+		}
+	}
+	q.shared = shared
+}
+
 // RecordCompletion withdraws the suspicions against a suspect fingerprint whose request completed on
 // a target of their pool while no other attempt ran there. It returns them, to be sent to the other
 // hosts.
--- a/internal/coordination/quarantiner/quarantiner_test.go
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -128,3 +128,31 @@
 		t.Errorf("simultaneous crashes at two hosts: got state %d, want %d", got, want)
 	}
 }
+
+// TestSync guards against suspicions that outlive their withdrawal by another host, and against a
+// quarantine that ends because the registry lost its entries.
+func TestSync(t *testing.T) {
+	q := &quarantiner.Quarantiner{MaxSuspects: 8}
+	suspicion := func(fingerprint uint64, crash string) wigeonspindle.Suspicion {
+		return wigeonspindle.Suspicion{Fingerprint: fingerprint, Crash: crash, Pool: "p", Score: 1, Expires: epoch.Add(expiry)}
+	}
+	checkState := func(name string, fingerprint uint64, want quarantiner.State) {
+		t.Helper()
+		if got := q.State(fingerprint, epoch); got != want {
+			t.Errorf("%s: got state %d, want %d", name, got, want)
+		}
+	}
+	entries := []wigeonspindle.Suspicion{suspicion(1, "a"), suspicion(2, "a"), suspicion(2, "b"), suspicion(3, "a")}
+	q.Sync(entries, epoch)
+	q.Sync(entries, epoch)
+	checkState("one crash", 1, quarantiner.Suspect)
+	checkState("two crashes", 2, quarantiner.Quarantined)
+	q.RecordCompletion(3, "p", "t", epoch)
+	q.Sync(entries, epoch)
+	checkState("withdrawn by this host, not yet by the registry", 3, quarantiner.Clear)
+	q.RecordCrash(4, "p", "t", 1, true, expiry, epoch)
+	q.Sync(nil, epoch)
+	checkState("withdrawn by another host", 1, quarantiner.Clear)
+	checkState("quarantine whose entries are lost", 2, quarantiner.Quarantined)
+	checkState("crash that was not reported yet", 4, quarantiner.Suspect)
+}
