platform: entries of suspicions end by their own time, not with a lease

Callers would see: a call that crashes replicas is taken again by hosts that start after the registry was away or has revoked the keys of a host.

Cause: an entry was written under a lease of its own, and leases may run out while the registry is unavailable, or be revoked.

Change: entries have no lease and hold the time at which they expire. The first serving host removes expired ones.

TestExpiredSuspicions checks that one host, and no other, removes expired entries.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -184,7 +184,9 @@
 	// A host that is stopping, or whose entry has expired, is not listed but still has callers.
 	d.serving = slices.ContainsFunc(deployment.ServingPeers, isSelf) || !slices.ContainsFunc(deployment.Peers, isSelf)
 	replicaIDs := deployment.ReplicaIDs()
-	d.Gatherer.UpdateDeployment(deployment, replicaIDs, d.Clock.Now())
+	now := d.Clock.Now()
+	d.Gatherer.UpdateDeployment(deployment, replicaIDs, now)
+	d.removeExpiredSuspicions(deployment, now)
 	d.pool.CloseAfterUse, d.Gatherer.Standby = !d.serving, !d.serving
 	d.pool.RetainReplicas(replicaIDs)
 	if d.serving && deployment.Catalog != nil {
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -182,3 +182,30 @@
 		t.Errorf("state at a host that reads the registry %+v: got %d, want %d", registry, got, want)
 	}
 }
+
+// TestExpiredSuspicions guards against suspicions that fill the registry after they have expired, and
+// against the removal of valid ones or by several hosts.
+func TestExpiredSuspicions(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	valid := wigeonspindle.Suspicion{Fingerprint: 1, Crash: "a", Score: 1, Expires: time.Now().Add(time.Hour)}
+	expired := wigeonspindle.Suspicion{Fingerprint: 1, Crash: "b", Score: 1, Expires: time.Now().Add(-time.Second)}
+	for first, want := range map[string]int{"h": 1, "a": 0} {
+		reports := make(chan wigeonspindle.Suspicion, 8)
+		d := newDispatcher(&countingClock{}, reports)
+		d.Run()
+		deployment := orderDeployment()
+		deployment.ServingPeers = []wigeonspindle.Peer{{Name: first}, {Name: "z"}}
+		deployment.Suspicions = []wigeonspindle.Suspicion{valid, expired}
+		d.UpdateDeployment(deployment)
+		time.Sleep(100 * time.Millisecond)
+		d.Close()
+		if got := len(reports); got != want {
+			t.Fatalf("reports where the first host is %q: got %d, want %d", first, got, want)
+		}
+		if want == 1 {
+			if got := <-reports; !got.Cleared || got.Name() != expired.Name() {
+				t.Errorf("report: got %+v, want the removal of %s", got, expired.Name())
+			}
+		}
+	}
+}
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -51,3 +51,17 @@
 		return known.Name() == suspicion.Name()
 	})
 }
+
+// removeExpiredSuspicions removes expired suspicions from the registry. Of all hosts, the first one in
+// the deployment does so.
+func (d *Dispatcher) removeExpiredSuspicions(deployment *wigeonspindle.DeploymentState, now time.Time) {
+	if len(deployment.ServingPeers) == 0 || deployment.ServingPeers[0].Name != d.Host {
+		return
+	}
+	for _, suspicion := range deployment.Suspicions {
+		if !now.Before(suspicion.Expires) {
+			suspicion.Cleared = true
+			d.ReportSuspicion(suspicion)
+		}
+	}
+}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -34,8 +34,8 @@
 	// recoveryGrace is how long missing entries are kept after an outage of the registry:
 	// replicas register again within about 2 s.
 	recoveryGrace = 2200 * time.Millisecond
-	// suspicionTTL is how long a call that crashed replicas is refused after its last crash. It is
-	// the longest lease of the registry.
+	// suspicionTTL is how long a call that crashed replicas is refused after its last crash. Users
+	// repeat a failed search for minutes rather than hours.
 	suspicionTTL = 10 * time.Minute
 	// maxSuspects bounds the suspected calls that a host keeps.
 	maxSuspects = 1024
--- a/internal/transport/watcher/reporter.go
+++ b/internal/transport/watcher/reporter.go
@@ -84,7 +84,7 @@
 	}
 	suspicion := r.pending[0]
 	fields := []any{"fingerprint", suspicion.FingerprintName(), "crash", suspicion.Crash, "replica", suspicion.Target, "score", suspicion.Score, "cleared", suspicion.Cleared}
-	if !r.Clock.Now().Before(suspicion.Expires) {
+	if !suspicion.Cleared && !r.Clock.Now().Before(suspicion.Expires) {
 		r.Logger.Warn("failed to report to the registry the suspicion that a call crashes replicas", append(fields, "error", "the suspicion has expired")...)
 		r.pending = r.pending[1:]
 		return
@@ -108,5 +108,5 @@
 func (r *Reporter) reportOnce(ctx context.Context, suspicion wigeonspindle.Suspicion) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.Registry.ReportSuspicion(ctx, suspicion, r.Clock.Now())
+	return r.Registry.ReportSuspicion(ctx, suspicion)
 }
--- a/internal/transport/watcher/reporter_test.go
+++ b/internal/transport/watcher/reporter_test.go
@@ -29,7 +29,7 @@
 	reported chan wigeonspindle.Suspicion
 }
 
-func (r *registry) ReportSuspicion(ctx context.Context, suspicion wigeonspindle.Suspicion, _ time.Time) error {
+func (r *registry) ReportSuspicion(ctx context.Context, suspicion wigeonspindle.Suspicion) error {
 	if r.hangs {
 		<-ctx.Done()
 		return ctx.Err()
--- a/registry.go
+++ b/registry.go
@@ -31,8 +31,9 @@
 	Register(ctx context.Context, peer Peer, lease time.Duration) (uint64, error)
 	// RenewLease extends a lease. It returns ErrLeaseExpired when the lease has ended.
 	RenewLease(ctx context.Context, lease uint64) error
-	// ReportSuspicion enters a suspicion until it expires, or removes it when it is cleared.
-	ReportSuspicion(ctx context.Context, suspicion Suspicion, now time.Time) error
+	// ReportSuspicion enters a suspicion, or removes it when it is cleared. Expired ones stay until
+	// they are removed.
+	ReportSuspicion(ctx context.Context, suspicion Suspicion) error
 	// RevokeLease ends a lease and removes the entries made under it.
 	RevokeLease(ctx context.Context, lease uint64) error
 }
