platform: read and log the request limit of a replica

New on the users' page: a replica in need names in its answers the requests a second that it takes from all hosts. Nothing read it, so neither code nor logs could show whether it is kept. No decision uses it yet.

--- a/call.go
+++ b/call.go
@@ -37,6 +37,7 @@
 	// WrongReplica reports that another replica has the address.
 	WrongReplica bool
 	Load         TargetLoad
+	Limit        RequestLimit
 }
 
 // Success reports whether the replica answered the call.
@@ -52,6 +53,13 @@
 	Slots   int
 }
 
+// RequestLimit is the rate of requests that a replica accepts. It holds until the replica states
+// another one, or none in a response.
+type RequestLimit struct {
+	Known     bool
+	PerSecond float64 // PerSecond is the number of requests a second from all hosts together.
+}
+
 // Exchange is the result of one send to a replica.
 type Exchange struct {
 	Verdict  Verdict
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -83,7 +83,8 @@
 	probedAt         time.Time
 	load             wigeonspindle.TargetLoad
 	loadReportedAt   time.Time
-	coldSentAt       time.Time // coldSentAt is when the last call was sent while the replica was cold.
+	limit            wigeonspindle.RequestLimit // limit is the one in the last response.
+	coldSentAt       time.Time                  // coldSentAt is when the last call was sent while the replica was cold.
 }
 
 // Pick returns the replica of a pool with the lowest cost for a call with the expected latency.
@@ -149,6 +150,7 @@
 		stats.replacedStartMs, stats.replacedAt = replica.StartUnixMs, now
 		return
 	}
+	stats.limit = exchange.Response.Limit
 	stats.consecutiveFailures, stats.blockedUntil = 0, time.Time{}
 	stats.answeredAt, stats.silent, stats.unansweredProbes = now, false, 0
 	failed := 0.0
@@ -162,6 +164,14 @@
 	}
 }
 
+// Limit returns the limit that a replica stated in its last response.
+func (s *Selector) Limit(id string) wigeonspindle.RequestLimit {
+	if stats, ok := s.stats[id]; ok {
+		return stats.limit
+	}
+	return wigeonspindle.RequestLimit{}
+}
+
 // RecordUnreachable records that a replica accepts no connections.
 func (s *Selector) RecordUnreachable(replica *wigeonspindle.Replica, now time.Time) {
 	s.statsFor(replica.ID, now).backOff(now)
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -323,7 +323,9 @@
 	}
 	d.logExchange(p, key.send, exchange, err)
 	decided := p.state.Decided()
+	limit := d.Gatherer.Selector.Limit(key.send.Replica.ID)
 	step := p.state.HandleResult(key.send, exchange, now)
+	d.logLimit(key.send.Replica, limit)
 	d.reportSuspicions(p.state.Suspicions, now)
 	if !decided {
 		d.execute(p, step, now)
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -65,3 +65,11 @@
 	}
 	return strings.Join(names, ",")
 }
+
+// logLimit logs the request limit of a replica if it differs from the one before.
+func (d *Dispatcher) logLimit(replica *wigeonspindle.Replica, before wigeonspindle.RequestLimit) {
+	if limit := d.Gatherer.Selector.Limit(replica.ID); limit != before {
+		d.Logger.Info("request limit of a replica changed", "replica", replica.ID, "pool", replica.Pool, "limited", limit.Known, "limit_per_second", limit.PerSecond,
+			"limited_before", before.Known, "limit_per_second_before", before.PerSecond, "serving_hosts", len(d.deployment.ServingPeers))
+	}
+}
