selector: keep the request limit that a replica states

What the operators of replicas saw: a replica that named a limit of 8.8 requests a second got 137 in 4 s from hosts that knew it, 58 being allowed (LIMIT).

Change: the mechanism that keeps the warm-up rate of cold replicas keeps the limit too: hosts do not coordinate, each has turns by its rank among the serving hosts and the time of day, one call a turn. The turns last 2 s, since the limit holds over 4 s, and a host has its turns at the replicas of a pool one after the other, so that a pool whose replicas are all limited has one free most of the time. A discarded send gives its turn back, and a call for which too few shards have a turn is refused before anything is sent. A limit of 0 is asked again every 10 s by some host, because only a response can tell that it has ended.

Ruled out: a token bucket for each host (with 15 hosts and a limit of 1 the first calls after a pause alone exceed it); sharing the limit through the registry (every host learns it with its first response).

Evidence: TestRequestLimit and TestRequestLimitEnds fail on the code before (all eleven cases, for example 6000 calls in 4 s with 15 hosts) and pass.

--- /dev/null
+++ b/internal/coordination/selector/limit_test.go
@@ -0,0 +1,141 @@
+package selector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
+)
+
+// In any limitWindow a replica may get its request limit times limitFactor, plus limitSlack calls,
+// from the hosts that know the limit. The values are requirements of the users.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// limited is a successful response of a replica that states a request limit.
+func limited(perSecond float64) wigeonspindle.Exchange {
+	exchange := success(expected)
+	exchange.Response.Limit = wigeonspindle.RequestLimit{Known: true, PerSecond: perSecond}
+	return exchange
+}
+
+// TestRequestLimit guards against hosts that together exceed the request limit of a replica, and
+// against hosts that use less than half of it.
+func TestRequestLimit(t *testing.T) {
+	const seconds, step = 40, 10 * time.Millisecond
+	for _, test := range []struct {
+		hosts  int
+		limit  float64
+		pause  time.Duration // pause is the time without calls after each host has learned the limit.
+		jumped time.Duration // jumped is how far the clocks of a third of the hosts jump halfway through.
+	}{
+		{hosts: 1, limit: 3},
+		{hosts: 3, limit: 50},
+		{hosts: 15, limit: 8.8},
+		{hosts: 15, limit: 1},
+		{hosts: 15, limit: 0.5},
+		{hosts: 12, limit: 22, pause: 5 * time.Second},
+		{hosts: 15, limit: 1.2, pause: 9 * time.Second},
+		{hosts: 60, limit: 6, pause: 5 * time.Second},
+		{hosts: 107, limit: 2, pause: 5 * time.Second},
+		{hosts: 15, limit: 8.8, jumped: 2400 * time.Millisecond},
+		{hosts: 15, limit: 8.8, jumped: -2400 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d hosts, %v a second, pause %v, jump %v", test.hosts, test.limit, test.pause, test.jumped), func(t *testing.T) {
+			deployment := newDeployment()
+			deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
+			deployment.ServingPeers = nil
+			var hosts []*selector.Selector
+			for i := range test.hosts {
+				name := fmt.Sprintf("host-%d", i)
+				deployment.ServingPeers = append(deployment.ServingPeers, wigeonspindle.Peer{Name: name})
+				hosts = append(hosts, &selector.Selector{Host: name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
+			}
+			var sent []time.Duration
+			call := func(i int, after time.Duration) {
+				now := at(after)
+				if i%3 == 0 && after > seconds*time.Second/2 {
+					now = now.Add(test.jumped)
+				}
+				if replica, ok := hosts[i].Pick(deployment, "pool", nil, expected, now); ok {
+					hosts[i].RecordSend(replica, now)
+					hosts[i].RecordResult(replica, now, expected, limited(test.limit), now.Add(time.Millisecond))
+					sent = append(sent, after)
+				}
+			}
+			for i := range hosts {
+				call(i, 0)
+			}
+			sent = nil // The first call of each host is made before it knows the limit.
+			for after := test.pause + time.Second; after < seconds*time.Second; after += step {
+				for i := range hosts {
+					call(i, after)
+				}
+			}
+			most, first := 0, 0
+			for i := range sent {
+				for sent[i]-sent[first] >= limitWindow {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			if got, want := most, int(limitFactor*test.limit*limitWindow.Seconds())+limitSlack; got > want {
+				t.Errorf("calls in the worst %v: got %d, want at most %d", limitWindow, got, want)
+			}
+			busy := (seconds*time.Second - test.pause - time.Second).Seconds()
+			if got := float64(len(sent)) / busy; got > test.limit*1.1 || got < test.limit/2 {
+				t.Errorf("calls a second: got %.2f, want about %v", got, test.limit)
+			}
+		})
+	}
+}
+
+// TestRequestLimitEnds guards against a replica that is limited for ever, against one that is never
+// asked again because it takes nothing, and against calls that are not sent to the other replicas.
+func TestRequestLimitEnds(t *testing.T) {
+	deployment := newDeployment()
+	deployment.ServingPeers = []wigeonspindle.Peer{{Name: ""}}
+	s := newSelector()
+	recordExchange(s, deployment, 0, limited(0), at(0))
+	if got, want := countPicks(s, deployment, at(10*time.Millisecond)), 200; got["two"] != want {
+		t.Errorf("picks beside a replica that takes nothing: got %v, want %d of the other", got, want)
+	}
+	asked := false
+	for after := time.Second; after < 15*time.Second; after += 100 * time.Millisecond {
+		replica, ok := s.Pick(deployment, "pool", []string{"two"}, expected, at(after))
+		if asked = asked || ok; ok {
+			s.RecordSend(replica, at(after))
+			s.RecordResult(replica, at(after), expected, success(expected), at(after))
+		}
+	}
+	if !asked {
+		t.Error("calls to a replica that takes nothing: got none in 15 s, want one that tells whether it still does")
+	}
+	if got := countPicks(s, deployment, at(16*time.Second)); got["one"] == 0 {
+		t.Errorf("picks after the limit has ended: got %v, want some of the replica", got)
+	}
+}
+
+// TestDiscardedSend guards against a request limit that is used up by sends that were not made.
+func TestDiscardedSend(t *testing.T) {
+	deployment := newDeployment()
+	deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
+	deployment.ServingPeers = []wigeonspindle.Peer{{Name: ""}}
+	s := newSelector()
+	recordExchange(s, deployment, 0, limited(1), at(0))
+	replica, ok := s.Pick(deployment, "pool", nil, expected, at(3*time.Second))
+	if !ok {
+		t.Fatal("replica after 3 s: got none, want the one that takes a call a second")
+	}
+	s.RecordSend(replica, at(3*time.Second))
+	s.DiscardSend(replica.ID, at(3*time.Second))
+	if _, ok := s.Pick(deployment, "pool", nil, expected, at(3*time.Second)); !ok {
+		t.Error("replica after a send that was not made: got none, want it")
+	}
+}
--- /dev/null
+++ b/internal/coordination/selector/pace.go
@@ -0,0 +1,71 @@
+package selector
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+const (
+	// rateFraction is the fraction of the warm-up rate or the request limit of a replica that the
+	// hosts use together. The rest is a margin for hosts that do not know of all other hosts.
+	rateFraction = 0.9
+	// coldTurnDuration is the length of the turn in which a host may send a call to a cold
+	// replica. The turns of all hosts that overlap with any one second number 1.5 times the rate.
+	coldTurnDuration = 500 * time.Millisecond
+	// limitTurnDuration is the same for a replica that states a request limit, which holds over 4 s.
+	// The turns that overlap with 4 s number 1.5 times the limit.
+	limitTurnDuration = 2 * time.Second
+	// minLimit replaces a lower request limit, in requests a second. Without any request, no host would
+	// learn that the limit has ended.
+	minLimit = 0.1
+)
+
+// rateAllows reports whether the rates that a replica bears permit one more call.
+func (s *Selector) rateAllows(deployment *wigeonspindle.DeploymentState, replica *wigeonspindle.Replica, stats *replicaStats, now time.Time) bool {
+	if now.Before(replica.WarmAt) {
+		rate := deployment.Catalog.Pools[replica.Pool].WarmupRate
+		if rate > 0 && !s.hasTurn(deployment, stats, rateFraction*rate, 0, coldTurnDuration, now) {
+			return false
+		}
+	}
+	if !stats.limit.Known {
+		return true
+	}
+	replicas := deployment.Replicas[replica.Pool]
+	phase := float64(slices.Index(replicas, replica)) / float64(len(replicas))
+	return s.hasTurn(deployment, stats, rateFraction*max(stats.limit.PerSecond, minLimit), phase, limitTurnDuration, now)
+}
+
+// hasTurn reports whether this host may send a call to a replica that takes a rate of calls per
+// second. The hosts do not coordinate: each has a recurring turn that follows from its rank and the
+// wall clock, and sends at most one call in it. Permits that accumulate while there are no calls
+// would let all hosts send at once. The phase, a fraction of the time between two turns, gives a
+// host its turns at the replicas of a pool one after the other.
+func (s *Selector) hasTurn(deployment *wigeonspindle.DeploymentState, stats *replicaStats, rate, phase float64, turn time.Duration, now time.Time) bool {
+	hosts := max(len(deployment.ServingPeers), 1)
+	period := time.Duration(float64(hosts) / rate * float64(time.Second))
+	if period <= turn {
+		return now.Sub(stats.sentAt) >= period
+	}
+	offset := time.Duration(s.rank(deployment))*(period/time.Duration(hosts)) + time.Duration(phase*float64(period))
+	sinceTurn := time.Duration(now.UnixNano()-int64(offset)) % period
+	return sinceTurn < turn && now.Sub(stats.sentAt) >= turn
+}
+
+// rank returns the index of this host among the serving hosts. A host that is not among them
+// gets few calls and uses an index derived from the hash of its name.
+func (s *Selector) rank(deployment *wigeonspindle.DeploymentState) int {
+	if s.rankedDeployment == deployment {
+		return s.cachedRank
+	}
+	s.rankedDeployment = deployment
+	s.cachedRank = slices.IndexFunc(deployment.ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == s.Host })
+	if s.cachedRank < 0 {
+		s.cachedRank = int(xxhash.Sum64String(s.Host) % uint64(max(len(deployment.ServingPeers), 1)))
+	}
+	return s.cachedRank
+}
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -84,7 +84,8 @@
 	load             wigeonspindle.TargetLoad
 	loadReportedAt   time.Time
 	limit            wigeonspindle.RequestLimit // limit is the one in the last response.
-	coldSentAt       time.Time                  // coldSentAt is when the last call was sent while the replica was cold.
+	// sentAt is when the last call was sent, and previousSentAt when the one before it was.
+	sentAt, previousSentAt time.Time
 }
 
 // Pick returns the replica of a pool with the lowest cost for a call with the expected latency.
@@ -97,7 +98,7 @@
 			continue
 		}
 		stats := s.statsFor(replica.ID, now)
-		if !stats.usable(replica, expected, now) || !s.coldLimitAllows(deployment, replica, stats, now) {
+		if !stats.usable(replica, expected, now) || !s.rateAllows(deployment, replica, stats, now) {
 			continue
 		}
 		if cost := s.cost(replica, stats, expected, now); cost < lowest {
@@ -110,7 +111,8 @@
 // HasUsableReplica reports whether some replica of the pool could take a call now.
 func (s *Selector) HasUsableReplica(deployment *wigeonspindle.DeploymentState, pool string, expected time.Duration, now time.Time) bool {
 	for _, replica := range deployment.Replicas[pool] {
-		if replica.AcceptsWork(deployment.OutDomains) && s.statsFor(replica.ID, now).usable(replica, expected, now) {
+		stats := s.statsFor(replica.ID, now)
+		if replica.AcceptsWork(deployment.OutDomains) && stats.usable(replica, expected, now) && s.rateAllows(deployment, replica, stats, now) {
 			return true
 		}
 	}
@@ -126,9 +128,7 @@
 		stats.unansweredProbes++
 		stats.probedAt = now
 	}
-	if now.Before(replica.WarmAt) {
-		stats.coldSentAt = now
-	}
+	stats.previousSentAt, stats.sentAt = stats.sentAt, now
 	return stats.silent
 }
 
@@ -181,6 +181,9 @@
 func (s *Selector) DiscardSend(id string, sent time.Time) {
 	if stats, ok := s.stats[id]; ok {
 		stats.removePending(sent)
+		if stats.sentAt.Equal(sent) {
+			stats.sentAt = stats.previousSentAt
+		}
 	}
 }
 
