exchanger: bound the bytes of a response

Callers would see a host that runs out of memory and restarts, with all its calls.

Cause: http.ReadResponse reads a head of any size, and interim responses were skipped without a limit; a head that does not end was read until the call's deadline.

Change: a connection reads at most 64 KB of heads and 8 MB of body (and 1 MB of framing), and large bodies of all connections together use at most a tenth of the memory limit while they are read. Beyond that the connection is closed and the exchange counts as broken.

TestBodyMemory checks the common bound and that memory is given back.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	Clock    wigeonspindle.Clock
 	Meter    wigeonspindle.CallMeter
 	Logger   *log.Logger
+	// BodyMemory bounds the memory, in bytes, of the large response bodies that are being read.
+	BodyMemory int64
 	// ReportSuspicion sends a suspicion to the other hosts. It must not block.
 	ReportSuspicion func(suspicion wigeonspindle.Suspicion)
 
@@ -109,7 +111,7 @@
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
 	d.pool = &exchanger.Pool{
-		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial,
+		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial, BodyMemory: d.BodyMemory,
 	}
 	d.done.Add(1)
 	go func() {
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,15 +20,13 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
-// Timeouts and size limits of a connection.
+// Timeouts and limits of a connection.
 const (
 	// dialTimeout bounds the opening of a connection. It is many times the slowest handshake of
 	// a healthy replica.
 	dialTimeout = time.Second
 	// readBufferSize fits the header and a small body of a typical response, in bytes.
 	readBufferSize = 1 << 10
-	// maxBodyBytes bounds the body of a response.
-	maxBodyBytes = 8 << 20
 	// maxUnmatchedResponses bounds the skipped responses to other requests.
 	maxUnmatchedResponses = 2
 	// TCP keep-alive detects idle connections whose peer has become unreachable.
@@ -80,6 +77,8 @@
 	ReuseUntil time.Time
 
 	dialled    time.Time // dialled is when Run was called.
+	memory     *bodyMemory
+	limit      limitedReader // limit bounds the response that is being read.
 	jobs       *queuer.Ring[*Job]
 	conn       net.Conn
 	mutex      sync.Mutex
@@ -151,7 +150,8 @@
 		c.writeLoop(done)
 	}()
 	c.report(Event{Connection: c, Opened: true})
-	err = c.readLoop(bufio.NewReaderSize(conn, readBufferSize))
+	c.limit.reader = conn
+	err = c.readLoop(bufio.NewReaderSize(&c.limit, readBufferSize))
 	_ = conn.Close() // The read error is the one to report.
 	close(done)
 	<-written
@@ -182,6 +182,7 @@
 // readLoop receives responses. It returns when the connection can carry no more jobs.
 func (c *Connection) readLoop(reader *bufio.Reader) error {
 	for {
+		c.limit.remaining = maxHeadBytes
 		_, err := reader.Peek(1)
 		job := c.takeJob()
 		if err != nil {
@@ -255,6 +256,7 @@
 				return false, err
 			}
 			matched = false // Responses are out of order, so the connection is not reused.
+			c.limit.remaining = maxHeadBytes
 			continue
 		}
 		reusable := matched && !response.Close && reader.Buffered() == 0
@@ -282,7 +284,8 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		body, err := readBody(response)
+		c.limit.remaining = maxBodyBytes + maxFramingBytes
+		body, err := c.memory.readBody(response)
 		if err != nil {
 			return nil, nil, errors.Wrap(err, "read response body")
 		}
@@ -290,25 +293,6 @@
 	}
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxBodyBytes {
-		return nil, errors.Newf("response body has %d bytes, more than %d", response.ContentLength, maxBodyBytes)
-	}
-	if response.Body == http.NoBody {
-		return nil, nil
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errors.Newf("response body exceeds %d bytes", maxBodyBytes)
-	}
-	return body, err
-}
-
 // idleTimeout returns how long a connection may be reused after a response, from the Keep-Alive
 // header of the replica.
 func idleTimeout(header http.Header) time.Duration {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -19,10 +19,14 @@
 	// CloseAfterUse closes each connection after its job. A host that rarely sends must not hold
 	// connections that count against the limits of the replicas.
 	CloseAfterUse bool
+	// BodyMemory bounds the memory, in bytes, of the large bodies that all connections are reading; 0
+	// means no limit.
+	BodyMemory int64
 	// OnDial is called with the start of a dial when the replica has accepted the connection, and when
 	// the dial has failed unless the failure is the result of a job that waited for the connection.
 	OnDial func(replica *wigeonspindle.Replica, accepted bool, dialled time.Time)
 
+	memory   *bodyMemory
 	replicas map[string]*replicaConnections
 	closing  map[*Connection]bool // closing holds aborted idle connections until they report their end.
 }
@@ -258,7 +262,10 @@
 }
 
 func (p *Pool) dial(r *replicaConnections, replica *wigeonspindle.Replica) {
-	connection := &Connection{Replica: replica, Dialect: p.Dialect, Clock: p.Clock, Events: p.Events, Stop: p.Stop}
+	if p.memory == nil {
+		p.memory = &bodyMemory{limit: p.BodyMemory}
+	}
+	connection := &Connection{Replica: replica, Dialect: p.Dialect, Clock: p.Clock, Events: p.Events, Stop: p.Stop, memory: p.memory}
 	r.opening[connection] = true
 	r.broke = false // The outcome of the dial tells whether the replica is reachable.
 	connection.Run()
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -61,6 +61,9 @@
 	// callerFileShare is the fraction of the unreserved file descriptors that connections of
 	// callers may use.
 	callerFileShare = 0.4
+	// bodyMemoryShare is the fraction of the memory limit that large response bodies may use while they
+	// are read. Buffers that grow and the garbage collector need several times as much.
+	bodyMemoryShare = 0.1
 	// reservedFiles is the number of file descriptors reserved for files.
 	reservedFiles = 200
 	// internalConnections bounds the connections of each listener that serves no calls.
@@ -106,7 +109,7 @@
 			NewEstimator: func() wigeonspindle.LatencyEstimator { return &hedger.Estimator{} },
 		},
 		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
-		ReportSuspicion: s.reporter.Offer,
+		ReportSuspicion: s.reporter.Offer, BodyMemory: int64(bodyMemoryShare * float64(s.Settings.MemoryLimitMB<<20)),
 	}
 	s.watcher = &watcher.Watcher{
 		Host: s.Settings.Name, Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
