exchanger: test responses that end at every byte

Reported by other operators: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

It cannot happen here: TestTruncatedResponse closes the connection after every prefix of five responses (with a length, in chunks, ended by the connection, with bare line ends, after an interim response), and each counts as broken. No code changes.

--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -508,3 +509,38 @@
 		})
 	}
 }
+
+// TestTruncatedResponse guards against a response that counts as complete although the replica closed
+// the connection in the middle of its head or body.
+func TestTruncatedResponse(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 12\r\nX-Other: value\r\n\r\n0123456789ab",
+		"chunked":    "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n0123456789ab\r\n0\r\n\r\n",
+		"no length":  "HTTP/1.1 200 OK\r\nSeal: s\r\nConnection: close\r\n\r\n",
+		"bare lines": "HTTP/1.1 200 OK\nSeal: s\nContent-Length: 2\n\nab",
+		"interim":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t, func(path string) (string, bool) {
+				length, err := strconv.Atoi(path)
+				if err != nil {
+					return text, true
+				}
+				return text[:length], true
+			})
+			h := newHarness(t, s.listener.Addr().String())
+			for length := range len(text) {
+				id := strconv.Itoa(length)
+				h.pool.CloseAfterUse = true
+				h.send(id, 1)
+				if got := h.wait(t, id); got.Code != wigeonspindle.CodeBroken || got.Response != nil {
+					t.Errorf("response ending after %q: got %+v, want a broken exchange", text[:length], got.Response)
+				}
+			}
+			h.send("whole", 1)
+			if got := h.wait(t, "whole"); got.Response == nil || !got.Response.Success() {
+				t.Errorf("whole response: got %+v, want a success", got)
+			}
+		})
+	}
+}
