gatherer, supervisor: answer all calls before a host stops

Reported by other operators and seen here: in a planned stop, calls that came late in the grace period were passed on, and cut without an answer at its end, among them orders that may not be repeated (LOST).

Cause: the dispatcher did not know of the stop. The listeners close connections at the end of the grace period, whatever runs on them.

Change: the supervisor tells the dispatcher when the host stops. Running calls get that time as their deadline and are answered 502 or 504 like any call that expires; new ones are refused (503, not run, come back at once) when the time left is less than that of 99 of 100 calls of the route.

Ruled out: refusing from the start of the grace period, because callers learn of the stop only with their next list of hosts; TestStop demands answers while there is time.

TestFinishBy checks the decisions.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -129,6 +129,15 @@
 	return step
 }
 
+// FinishBy brings the deadline of a call forward, because the host stops.
+func (c *CallState) FinishBy(deadline, now time.Time) Step {
+	var step Step
+	c.HardDeadline, c.SoftDeadline = earlier(c.HardDeadline, deadline), earlier(c.SoftDeadline, deadline)
+	c.nextTick = c.computeNextTick(now)
+	c.decide(now, &step)
+	return step
+}
+
 // Cancel ends a call whose caller no longer waits for it.
 func (c *CallState) Cancel() { c.decided = true }
 
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -72,6 +72,9 @@
 	// is added, so that refused callers do not all retry at once.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 300 * time.Millisecond
+	// leavingRetryAfter is when a caller that a stopping host refused should retry: other hosts can
+	// take the call at once.
+	leavingRetryAfter = 10 * time.Millisecond
 )
 
 // Send is one send of a part to a replica.
@@ -106,6 +109,8 @@
 	Correlator *quarantiner.CrashCorrelator
 
 	estimators map[string]wigeonspindle.LatencyEstimator
+	// FinishBy is when the host stops, which ends all calls; zero while the host does not stop.
+	FinishBy time.Time
 	// Standby reports that callers are not directed to this host.
 	Standby bool
 	// NewEstimator returns an estimator without samples.
@@ -126,6 +131,15 @@
 	if remaining := call.CallerTimeout - roundTrip - callerTimeoutMargin; call.CallerTimeout > 0 && remaining < route.Timeout {
 		state.HardDeadline = call.Arrived.Add(remaining)
 	}
+	if !g.FinishBy.IsZero() {
+		if now.Add(g.requiredTime(route, now)).After(g.FinishBy) {
+			state.decided = true
+			reply := state.refusalReply(wigeonspindle.CodeLeaving, "the host stops before the call can be finished")
+			reply.RetryAfter = leavingRetryAfter
+			return state, Step{Reply: reply}
+		}
+		state.HardDeadline = earlier(state.HardDeadline, g.FinishBy)
+	}
 	pools := route.Shards
 	if len(pools) == 0 {
 		pools = []string{g.choosePool(route)}
@@ -174,6 +188,15 @@
 	return state, step
 }
 
+// requiredTime returns the time in which nearly all calls of a route are answered: the latency
+// objective until there are samples.
+func (g *Gatherer) requiredTime(route *wigeonspindle.Route, now time.Time) time.Duration {
+	if estimate := g.estimator(route).Estimate(now); estimate.Count > 0 {
+		return estimate.P99
+	}
+	return route.Aim
+}
+
 // waitedBeforeArrival returns how much of the latency objective has passed before a call arrived.
 // If it is maxWaitedFraction or more, the objective can hardly be met, and only the time to
 // connect counts.
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -401,3 +401,36 @@
 		t.Errorf("retries of all hosts in a window: got %d, want at most %d", got, want)
 	}
 }
+
+// TestFinishBy guards against a call without a reply when the host stops, and against one that is
+// started although it cannot be finished before.
+func TestFinishBy(t *testing.T) {
+	h := newHarness(2)
+	const took, stop = 40 * time.Millisecond, 500 * time.Millisecond
+	for i := range 20 { // The host learns how long the calls take.
+		start := time.Duration(i) * time.Millisecond
+		state, step := h.call(start)
+		for _, send := range step.Sends {
+			state.HandleResult(send, part("s", took), at(start+took))
+		}
+	}
+	running, _ := h.call(100 * time.Millisecond)
+	h.FinishBy = at(stop)
+	step := running.FinishBy(at(stop), at(110*time.Millisecond))
+	if step.Reply != nil || step.NextTick.After(at(stop)) {
+		t.Errorf("running call: got reply %+v and next tick %v, want a tick before the stop", step.Reply, step.NextTick.Sub(at(0)))
+	}
+	if reply := running.Tick(at(stop)).Reply; reply == nil || reply.Refusal == nil || reply.Refusal.Verdict != wigeonspindle.MayHaveRun {
+		t.Errorf("running call at the stop: got %+v, want a refusal that may have run", reply)
+	}
+	if state, step := h.call(stop - 3*took); step.Reply != nil || state.HardDeadline.After(at(stop)) {
+		t.Errorf("call with enough time: got reply %+v and deadline %v, want it started", step.Reply, state.HardDeadline.Sub(at(0)))
+	}
+	_, step = h.call(stop - took/2)
+	if step.Reply == nil || step.Reply.Refusal == nil || step.Reply.Refusal.Code != wigeonspindle.CodeLeaving || len(step.Sends) > 0 {
+		t.Fatalf("call with too little time: got %+v, want a refusal with code leaving", step.Reply)
+	}
+	if got, want := step.Reply.Refusal.Verdict, wigeonspindle.NotRun; got != want {
+		t.Errorf("verdict of the refusal: got %v, want %v", got, want)
+	}
+}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -75,6 +75,8 @@
 	callQueue   *queuer.Ring[*pendingCall]
 	cancelQueue *queuer.Ring[*pendingCall]
 	deployments *queuer.Ring[*wigeonspindle.DeploymentState]
+	stopQueue   *queuer.Ring[time.Time]
+	running     map[*pendingCall]bool // running holds the calls that are not decided.
 	events      *queuer.Ring[exchanger.Event]
 	pool        *exchanger.Pool
 	timers      scheduler.Timers
@@ -107,6 +109,8 @@
 	d.callQueue = queuer.New[*pendingCall](callQueueSize)
 	d.cancelQueue = queuer.New[*pendingCall](callQueueSize)
 	d.deployments = queuer.New[*wigeonspindle.DeploymentState](1)
+	d.stopQueue = queuer.New[time.Time](1)
+	d.running = make(map[*pendingCall]bool)
 	d.events = queuer.New[exchanger.Event](eventQueueSize)
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
@@ -138,6 +142,10 @@
 	}
 }
 
+// FinishBy announces that the host stops: all calls are answered by the deadline, and those that cannot
+// be finished until then are refused. It is called once.
+func (d *Dispatcher) FinishBy(deadline time.Time) { d.stopQueue.Offer(deadline) }
+
 // Handle implements wigeonspindle.Gateway.
 func (d *Dispatcher) Handle(ctx context.Context, call *wigeonspindle.Call) wigeonspindle.CallReply {
 	p := &pendingCall{call: call, reply: make(chan wigeonspindle.CallReply, 1)}
@@ -168,6 +176,8 @@
 			d.cancel(p)
 		case deployment := <-d.deployments.C():
 			d.applyDeployment(deployment)
+		case deadline := <-d.stopQueue.C():
+			d.finishBy(deadline)
 		case <-next.C:
 		case <-d.stop:
 			return
@@ -177,6 +187,14 @@
 	}
 }
 
+func (d *Dispatcher) finishBy(deadline time.Time) {
+	now := d.Clock.Now()
+	d.Gatherer.FinishBy = deadline
+	for p := range d.running {
+		d.execute(p, p.state.FinishBy(deadline, now), now)
+	}
+}
+
 func (d *Dispatcher) applyDeployment(deployment *wigeonspindle.DeploymentState) {
 	if deployment.Catalog != d.deployment.Catalog && deployment.Catalog != nil {
 		d.matcher = matcher.New(deployment.Catalog)
@@ -231,6 +249,7 @@
 	}
 	state, step := d.Gatherer.StartCall(p.call, p.route, d.deployment, now)
 	p.state = state
+	d.running[p] = true
 	d.execute(p, step, now)
 }
 
@@ -352,6 +371,7 @@
 
 // reply answers a call. Its remaining sends are aborted after lateResponseGrace.
 func (d *Dispatcher) reply(p *pendingCall, reply wigeonspindle.CallReply, now time.Time) {
+	delete(d.running, p)
 	p.reply <- reply // Does not block: the channel is buffered and a call has one reply.
 	d.logReply(p, reply, now)
 	if p.state != nil {
@@ -381,6 +401,7 @@
 		return // The call has not started; start skips it.
 	}
 	now := d.Clock.Now()
+	delete(d.running, p)
 	if !p.state.Decided() {
 		p.state.Cancel()
 		d.Logger.Info("call cancelled: the caller disconnected", "call", p.call.ID, "route", p.route.Name, "took", now.Sub(p.call.Arrived))
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -44,6 +44,9 @@
 	drainPeriod = 800 * time.Millisecond
 	// exitMargin is the time reserved between the last answer and the end of the grace period.
 	exitMargin = 200 * time.Millisecond
+	// replyMargin is the time reserved for writing the last replies before the listeners close the
+	// remaining connections.
+	replyMargin = 100 * time.Millisecond
 	// maxAddresses bounds the hosts in one answer of the directory.
 	maxAddresses = 64
 	// defaultHeaderBytes and defaultBodyBytes bound a request, and defaultIdleTimeout the idle time
@@ -168,6 +171,7 @@
 func (s *Supervisor) Close() error {
 	deadline := s.Clock.Now().Add(s.Settings.ShutdownGrace.Value() - exitMargin)
 	s.leaving.Store(true)
+	s.dispatcher.FinishBy(deadline.Add(-replyMargin))
 	s.Logger.Info("host stopping", "grace", s.Settings.ShutdownGrace)
 	s.announcer.Close()
 	time.Sleep(deadline.Add(-drainPeriod).Sub(s.Clock.Now()))
