selector: standby hosts share a tenth of a replica's rate

Cause: a rate was divided by the number of serving hosts, and each standby host took the turns of a serving one, by the hash of its name. The grown sites have more standby hosts than serving ones.

Change: the standby hosts have a tenth of the rate together and turns by their own rank; the serving ones the rest. The warm-up rate of cold replicas is divided the same way.

Evidence: the two new cases of TestRequestLimit fail on the code before (68 calls in 4 s, 31 allowed; 468, 185 allowed) and pass.

--- a/internal/coordination/selector/limit_test.go
+++ b/internal/coordination/selector/limit_test.go
@@ -30,10 +30,11 @@
 func TestRequestLimit(t *testing.T) {
 	const seconds, step = 40, 10 * time.Millisecond
 	for _, test := range []struct {
-		hosts  int
-		limit  float64
-		pause  time.Duration // pause is the time without calls after each host has learned the limit.
-		jumped time.Duration // jumped is how far the clocks of a third of the hosts jump halfway through.
+		hosts   int
+		standby int // standby is the number of further hosts to which callers are not directed.
+		limit   float64
+		pause   time.Duration // pause is the time without calls after each host has learned the limit.
+		jumped  time.Duration // jumped is how far the clocks of a third of the hosts jump halfway through.
 	}{
 		{hosts: 1, limit: 3},
 		{hosts: 3, limit: 50},
@@ -44,17 +45,22 @@
 		{hosts: 15, limit: 1.2, pause: 9 * time.Second},
 		{hosts: 60, limit: 6, pause: 5 * time.Second},
 		{hosts: 107, limit: 2, pause: 5 * time.Second},
+		{hosts: 40, standby: 86, limit: 4.4},
+		{hosts: 6, standby: 20, limit: 30},
 		{hosts: 15, limit: 8.8, jumped: 2400 * time.Millisecond},
 		{hosts: 15, limit: 8.8, jumped: -2400 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("%d hosts, %v a second, pause %v, jump %v", test.hosts, test.limit, test.pause, test.jumped), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d and %d hosts, %v a second, pause %v, jump %v", test.hosts, test.standby, test.limit, test.pause, test.jumped), func(t *testing.T) {
 			deployment := newDeployment()
 			deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
 			deployment.ServingPeers = nil
 			var hosts []*selector.Selector
-			for i := range test.hosts {
+			for i := range test.hosts + test.standby {
 				name := fmt.Sprintf("host-%d", i)
-				deployment.ServingPeers = append(deployment.ServingPeers, wigeonspindle.Peer{Name: name})
+				deployment.Peers = append(deployment.Peers, wigeonspindle.Peer{Name: name})
+				if i < test.hosts {
+					deployment.ServingPeers = append(deployment.ServingPeers, wigeonspindle.Peer{Name: name})
+				}
 				hosts = append(hosts, &selector.Selector{Host: name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
 			}
 			var sent []time.Duration
--- a/internal/coordination/selector/pace.go
+++ b/internal/coordination/selector/pace.go
@@ -13,6 +13,8 @@
 	// rateFraction is the fraction of the warm-up rate or the request limit of a replica that the
 	// hosts use together. The rest is a margin for hosts that do not know of all other hosts.
 	rateFraction = 0.9
+	// standbyRateFraction is the part of it for the hosts to which callers are not directed.
+	standbyRateFraction = 0.1
 	// coldTurnDuration is the length of the turn in which a host may send a call to a cold
 	// replica. The turns of all hosts that overlap with any one second number 1.5 times the rate.
 	coldTurnDuration = 500 * time.Millisecond
@@ -46,26 +48,42 @@
 // would let all hosts send at once. The phase, a fraction of the time between two turns, gives a
 // host its turns at the replicas of a pool one after the other.
 func (s *Selector) hasTurn(deployment *wigeonspindle.DeploymentState, stats *replicaStats, rate, phase float64, turn time.Duration, now time.Time) bool {
-	hosts := max(len(deployment.ServingPeers), 1)
-	period := time.Duration(float64(hosts) / rate * float64(time.Second))
+	share := s.rateShare(deployment)
+	period := time.Duration(float64(share.hosts) / (share.fraction * rate) * float64(time.Second))
 	if period <= turn {
 		return now.Sub(stats.sentAt) >= period
 	}
-	offset := time.Duration(s.rank(deployment))*(period/time.Duration(hosts)) + time.Duration(phase*float64(period))
+	offset := time.Duration(share.rank)*(period/time.Duration(share.hosts)) + time.Duration(phase*float64(period))
 	sinceTurn := time.Duration(now.UnixNano()-int64(offset)) % period
 	return sinceTurn < turn && now.Sub(stats.sentAt) >= turn
 }
 
-// rank returns the index of this host among the serving hosts. A host that is not among them
-// gets few calls and uses an index derived from the hash of its name.
-func (s *Selector) rank(deployment *wigeonspindle.DeploymentState) int {
-	if s.rankedDeployment == deployment {
-		return s.cachedRank
+// rateShare is the place of a host among those that share a rate.
+type rateShare struct {
+	fraction float64 // fraction is the part of the rate that these hosts use together.
+	hosts    int
+	rank     int // rank is the index of the host among them.
+}
+
+// rateShare returns the share of this host. The standby hosts get few calls but may be many, so they
+// have a share of their own; a host that is not listed takes the place of a serving one.
+func (s *Selector) rateShare(deployment *wigeonspindle.DeploymentState) rateShare {
+	if s.sharedDeployment == deployment {
+		return s.cachedShare
+	}
+	isSelf := func(peer wigeonspindle.Peer) bool { return peer.Name == s.Host }
+	share := rateShare{fraction: 1, hosts: max(len(deployment.ServingPeers), 1), rank: slices.IndexFunc(deployment.ServingPeers, isSelf)}
+	standby := len(deployment.Peers) - len(deployment.ServingPeers)
+	switch {
+	case standby <= 0:
+	case share.rank < 0 && slices.ContainsFunc(deployment.Peers, isSelf):
+		share.fraction, share.hosts = standbyRateFraction, standby
+	default:
+		share.fraction = 1 - standbyRateFraction
 	}
-	s.rankedDeployment = deployment
-	s.cachedRank = slices.IndexFunc(deployment.ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == s.Host })
-	if s.cachedRank < 0 {
-		s.cachedRank = int(xxhash.Sum64String(s.Host) % uint64(max(len(deployment.ServingPeers), 1)))
+	if share.rank < 0 {
+		share.rank = int(xxhash.Sum64String(s.Host) % uint64(share.hosts))
 	}
-	return s.cachedRank
+	s.sharedDeployment, s.cachedShare = deployment, share
+	return share
 }
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -61,8 +61,8 @@
 	Random *rand.Rand
 
 	stats            map[string]*replicaStats
-	rankedDeployment *wigeonspindle.DeploymentState // rankedDeployment is the state for which cachedRank was computed.
-	cachedRank       int
+	sharedDeployment *wigeonspindle.DeploymentState // sharedDeployment is the state for which cachedShare was computed.
+	cachedShare      rateShare
 }
 
 // replicaStats holds the observations of one replica.
