selector: a request limit that rises counts after four seconds

Cause: the latest limit was used at once, while the calls of any 4 s are measured by the lowest limit of that time.

Change: after a rise the lower limit holds for 4 s more. A lower limit and the end of a limit count at once.

Evidence: TestRisingLimit fails with the latest limit in use and passes.

--- a/internal/coordination/selector/limit_test.go
+++ b/internal/coordination/selector/limit_test.go
@@ -145,3 +145,30 @@
 		t.Error("replica after a send that was not made: got none, want it")
 	}
 }
+
+// TestRisingLimit guards against calls that are measured by a lower limit but sent by a higher one.
+func TestRisingLimit(t *testing.T) {
+	deployment := newDeployment()
+	deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
+	deployment.ServingPeers = []wigeonspindle.Peer{{Name: ""}}
+	s := newSelector()
+	count := func(from, to time.Duration, limit float64) int {
+		sent := 0
+		for after := from; after < to; after += 10 * time.Millisecond {
+			if replica, ok := s.Pick(deployment, "pool", nil, expected, at(after)); ok {
+				s.RecordSend(replica, at(after))
+				s.RecordResult(replica, at(after), expected, limited(limit), at(after))
+				sent++
+			}
+		}
+		return sent
+	}
+	count(0, limitWindow, 2)
+	// The response to the next call states the higher limit.
+	if got, want := count(limitWindow, 2*limitWindow, 20), int(limitFactor*2*limitWindow.Seconds())+limitSlack; got > want {
+		t.Errorf("calls in %v after the limit rose: got %d, want at most %d", limitWindow, got, want)
+	}
+	if got, want := count(2*limitWindow+time.Second, 3*limitWindow+time.Second, 20), int(20*limitWindow.Seconds()/2); got < want {
+		t.Errorf("calls in %v later: got %d, want at least %d", limitWindow, got, want)
+	}
+}
--- a/internal/coordination/selector/pace.go
+++ b/internal/coordination/selector/pace.go
@@ -18,8 +18,10 @@
 	// coldTurnDuration is the length of the turn in which a host may send a call to a cold
 	// replica. The turns of all hosts that overlap with any one second number 1.5 times the rate.
 	coldTurnDuration = 500 * time.Millisecond
-	// limitTurnDuration is the same for a replica that states a request limit, which holds over 4 s.
-	// The turns that overlap with 4 s number 1.5 times the limit.
+	// limitWindow is the time over which the request limit of a replica holds.
+	limitWindow = 4 * time.Second
+	// limitTurnDuration is the length of a turn at a replica that states a request limit. The turns
+	// that overlap with any limitWindow number 1.5 times the limit.
 	limitTurnDuration = 2 * time.Second
 	// minLimit replaces a lower request limit, in requests a second. Without any request, no host would
 	// learn that the limit has ended.
@@ -39,7 +41,24 @@
 	}
 	replicas := deployment.Replicas[replica.Pool]
 	phase := float64(slices.Index(replicas, replica)) / float64(len(replicas))
-	return s.hasTurn(deployment, stats, rateFraction*max(stats.limit.PerSecond, minLimit), phase, limitTurnDuration, now)
+	return s.hasTurn(deployment, stats, rateFraction*max(stats.lowestLimit(now), minLimit), phase, limitTurnDuration, now)
+}
+
+// recordLimit records the limit in a response. A limit that rises counts after limitWindow, because
+// the calls of that time are measured by the lower one.
+func (st *replicaStats) recordLimit(limit wigeonspindle.RequestLimit, now time.Time) {
+	if st.limit.Known && limit.Known && limit.PerSecond > st.limit.PerSecond {
+		st.lowerLimit, st.lowerUntil = st.lowestLimit(now), now.Add(limitWindow)
+	}
+	st.limit = limit
+}
+
+// lowestLimit returns the lowest limit of the last limitWindow, in requests a second.
+func (st *replicaStats) lowestLimit(now time.Time) float64 {
+	if now.Before(st.lowerUntil) {
+		return min(st.lowerLimit, st.limit.PerSecond)
+	}
+	return st.limit.PerSecond
 }
 
 // hasTurn reports whether this host may send a call to a replica that takes a rate of calls per
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -84,6 +84,9 @@
 	load             wigeonspindle.TargetLoad
 	loadReportedAt   time.Time
 	limit            wigeonspindle.RequestLimit // limit is the one in the last response.
+	// lowerLimit is the limit before it rose, which holds until lowerUntil.
+	lowerLimit float64
+	lowerUntil time.Time
 	// sentAt is when the last call was sent, and previousSentAt when the one before it was.
 	sentAt, previousSentAt time.Time
 }
@@ -150,7 +153,7 @@
 		stats.replacedStartMs, stats.replacedAt = replica.StartUnixMs, now
 		return
 	}
-	stats.limit = exchange.Response.Limit
+	stats.recordLimit(exchange.Response.Limit, now)
 	stats.consecutiveFailures, stats.blockedUntil = 0, time.Time{}
 	stats.answeredAt, stats.silent, stats.unansweredProbes = now, false, 0
 	failed := 0.0
