selector: keep the rate of a replica while hosts leave and return

Cause: the time between two turns of a host follows from the number of serving hosts. With each host that leaves or returns all turns move, and a host that had just had its turn could have the next one at once: five hosts sent every 2 s instead of every 6.6 s.

Change: a host waits four fifths of the time between two turns after each call. The first call, made before the host knows the limit, does not count. Cold replicas use the same code.

Ruled out: turns from the hash of the host's name, which move with the time between turns in the same way; a full time between turns, which lets turns pass unused when calls are rare.

Evidence: the three new cases of TestRequestLimit, in which up to six hosts leave and return, fail on the code before (21 calls in 4 s, 20 allowed; 12, 11 allowed; 55, 53 allowed) and pass.

--- a/internal/coordination/selector/limit_test.go
+++ b/internal/coordination/selector/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 		standby int // standby is the number of further hosts to which callers are not directed.
 		limit   float64
 		pause   time.Duration // pause is the time without calls after each host has learned the limit.
+		restart time.Duration // restart is the interval at which hosts leave or return.
 		jumped  time.Duration // jumped is how far the clocks of a third of the hosts jump halfway through.
 	}{
 		{hosts: 1, limit: 3},
@@ -47,10 +49,13 @@
 		{hosts: 107, limit: 2, pause: 5 * time.Second},
 		{hosts: 40, standby: 86, limit: 4.4},
 		{hosts: 6, standby: 20, limit: 30},
+		{hosts: 15, limit: 2.5, restart: 1200 * time.Millisecond},
+		{hosts: 15, limit: 1, restart: 1200 * time.Millisecond},
+		{hosts: 30, limit: 8, restart: time.Second},
 		{hosts: 15, limit: 8.8, jumped: 2400 * time.Millisecond},
 		{hosts: 15, limit: 8.8, jumped: -2400 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("%d and %d hosts, %v a second, pause %v, jump %v", test.hosts, test.standby, test.limit, test.pause, test.jumped), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d and %d hosts, %v a second, pause %v, restart %v, jump %v", test.hosts, test.standby, test.limit, test.pause, test.restart, test.jumped), func(t *testing.T) {
 			deployment := newDeployment()
 			deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
 			deployment.ServingPeers = nil
@@ -63,6 +68,7 @@
 				}
 				hosts = append(hosts, &selector.Selector{Host: name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
 			}
+			all := *deployment
 			var sent []time.Duration
 			call := func(i int, after time.Duration) {
 				now := at(after)
@@ -79,9 +85,19 @@
 				call(i, 0)
 			}
 			sent = nil // The first call of each host is made before it knows the limit.
+			away := 0  // The first hosts are away.
 			for after := test.pause + time.Second; after < seconds*time.Second; after += step {
-				for i := range hosts {
-					call(i, after)
+				if test.restart > 0 && after%test.restart == 0 {
+					// Up to six hosts leave one after the other and then return.
+					round := int(after/test.restart) % 12
+					away = min(round, 12-round)
+					changed := all
+					changed.ServingPeers = slices.Clone(all.ServingPeers[away:])
+					changed.Peers = changed.ServingPeers
+					deployment = &changed
+				}
+				for i := range hosts[away:] {
+					call(away+i, after)
 				}
 			}
 			most, first := 0, 0
@@ -102,29 +118,37 @@
 	}
 }
 
-// TestRequestLimitEnds guards against a replica that is limited for ever, against one that is never
-// asked again because it takes nothing, and against calls that are not sent to the other replicas.
+// TestRequestLimitEnds guards against a replica that is limited for ever, or never asked again because it
+// takes nothing, and against calls that are refused although another replica takes them.
 func TestRequestLimitEnds(t *testing.T) {
 	deployment := newDeployment()
 	deployment.ServingPeers = []wigeonspindle.Peer{{Name: ""}}
 	s := newSelector()
 	recordExchange(s, deployment, 0, limited(0), at(0))
-	if got, want := countPicks(s, deployment, at(10*time.Millisecond)), 200; got["two"] != want {
-		t.Errorf("picks beside a replica that takes nothing: got %v, want %d of the other", got, want)
-	}
-	asked := false
-	for after := time.Second; after < 15*time.Second; after += 100 * time.Millisecond {
-		replica, ok := s.Pick(deployment, "pool", []string{"two"}, expected, at(after))
-		if asked = asked || ok; ok {
-			s.RecordSend(replica, at(after))
-			s.RecordResult(replica, at(after), expected, success(expected), at(after))
+	calls := make(map[string]int)
+	send := func(after time.Duration, exchange wigeonspindle.Exchange) {
+		replica, ok := s.Pick(deployment, "pool", nil, expected, at(after))
+		if !ok {
+			t.Fatalf("replica after %v: got none, want the one without a limit at least", after)
+		}
+		calls[replica.ID]++
+		s.RecordSend(replica, at(after))
+		if replica.ID == "two" {
+			exchange = success(expected)
 		}
+		s.RecordResult(replica, at(after), expected, exchange, at(after))
+	}
+	for after := time.Second; after < 31*time.Second; after += 50 * time.Millisecond {
+		send(after, limited(0))
+	}
+	if got := calls["one"]; got < 1 || got > 4 {
+		t.Errorf("calls in 30 s to a replica that takes nothing: got %d, want a few that tell whether it still does", got)
 	}
-	if !asked {
-		t.Error("calls to a replica that takes nothing: got none in 15 s, want one that tells whether it still does")
+	for after := 31 * time.Second; after < 60*time.Second; after += 50 * time.Millisecond {
+		send(after, success(expected))
 	}
-	if got := countPicks(s, deployment, at(16*time.Second)); got["one"] == 0 {
-		t.Errorf("picks after the limit has ended: got %v, want some of the replica", got)
+	if got, want := calls["one"], 100; got < want {
+		t.Errorf("calls after the limit has ended: got %d, want at least %d", got, want)
 	}
 }
 
--- a/internal/coordination/selector/pace.go
+++ b/internal/coordination/selector/pace.go
@@ -18,6 +18,10 @@
 	// coldTurnDuration is the length of the turn in which a host may send a call to a cold
 	// replica. The turns of all hosts that overlap with any one second number 1.5 times the rate.
 	coldTurnDuration = 500 * time.Millisecond
+	// minSpacingFraction is the least time between two calls of a host, as a fraction of the time
+	// between two turns. When hosts leave or return, all turns move, and a host could have its next turn
+	// at once.
+	minSpacingFraction = 0.8
 	// limitWindow is the time over which the request limit of a replica holds.
 	limitWindow = 4 * time.Second
 	// limitTurnDuration is the length of a turn at a replica that states a request limit. The turns
@@ -74,7 +78,8 @@
 	}
 	offset := time.Duration(share.rank)*(period/time.Duration(share.hosts)) + time.Duration(phase*float64(period))
 	sinceTurn := time.Duration(now.UnixNano()-int64(offset)) % period
-	return sinceTurn < turn && now.Sub(stats.sentAt) >= turn
+	spacing := max(turn, time.Duration(minSpacingFraction*float64(period)))
+	return sinceTurn < turn && now.Sub(stats.sentAt) >= spacing
 }
 
 // rateShare is the place of a host among those that share a rate.
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -87,7 +87,8 @@
 	// lowerLimit is the limit before it rose, which holds until lowerUntil.
 	lowerLimit float64
 	lowerUntil time.Time
-	// sentAt is when the last call was sent, and previousSentAt when the one before it was.
+	// sentAt is when the last call was sent while the replica was cold or limited, and previousSentAt
+	// when the one before it was.
 	sentAt, previousSentAt time.Time
 }
 
@@ -131,7 +132,9 @@
 		stats.unansweredProbes++
 		stats.probedAt = now
 	}
-	stats.previousSentAt, stats.sentAt = stats.sentAt, now
+	if stats.limit.Known || now.Before(replica.WarmAt) {
+		stats.previousSentAt, stats.sentAt = stats.sentAt, now
+	}
 	return stats.silent
 }
 
