--- a/internal/coordination/selector/cold_test.go
+++ b/internal/coordination/selector/cold_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 )
 
 // A cold replica can take its warm-up rate times coldFactor, plus coldSlack calls, in any
@@ -42,13 +40,7 @@
 			deployment.Catalog.Pools["pool"] = wigeonspindle.Pool{Name: "pool", WarmupRate: test.rate}
 			deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
 			deployment.Replicas["pool"][0].WarmAt = at(time.Hour)
-			deployment.ServingPeers = nil
-			var hosts []*selector.Selector
-			for i := range test.hosts {
-				name := fmt.Sprintf("host-%d", i)
-				deployment.ServingPeers = append(deployment.ServingPeers, wigeonspindle.Peer{Name: name})
-				hosts = append(hosts, &selector.Selector{Host: name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
-			}
+			hosts := newHosts(deployment, test.hosts, 0)
 			var sent []time.Duration
 			call := func(i int, after time.Duration) {
 				now := at(after)
--- a/internal/coordination/selector/limit_test.go
+++ b/internal/coordination/selector/limit_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 )
 
 // In any limitWindow a replica may get its request limit times limitFactor, plus limitSlack calls,
@@ -58,16 +56,7 @@
 		t.Run(fmt.Sprintf("%d and %d hosts, %v a second, pause %v, restart %v, jump %v", test.hosts, test.standby, test.limit, test.pause, test.restart, test.jumped), func(t *testing.T) {
 			deployment := newDeployment()
 			deployment.Replicas["pool"] = deployment.Replicas["pool"][:1]
-			deployment.ServingPeers = nil
-			var hosts []*selector.Selector
-			for i := range test.hosts + test.standby {
-				name := fmt.Sprintf("host-%d", i)
-				deployment.Peers = append(deployment.Peers, wigeonspindle.Peer{Name: name})
-				if i < test.hosts {
-					deployment.ServingPeers = append(deployment.ServingPeers, wigeonspindle.Peer{Name: name})
-				}
-				hosts = append(hosts, &selector.Selector{Host: name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
-			}
+			hosts := newHosts(deployment, test.hosts, test.standby)
 			all := *deployment
 			var sent []time.Duration
 			call := func(i int, after time.Duration) {
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -32,6 +32,22 @@
 	return &selector.Selector{Domain: "a", Random: rand.New(rand.NewPCG(1, 2))}
 }
 
+// newHosts adds hosts to a deployment without hosts and returns their selectors, those to which callers are
+// directed first.
+func newHosts(deployment *wigeonspindle.DeploymentState, serving, standby int) []*selector.Selector {
+	var hosts []*selector.Selector
+	deployment.Peers, deployment.ServingPeers = nil, nil
+	for i := range serving + standby {
+		peer := wigeonspindle.Peer{Name: fmt.Sprintf("host-%d", i)}
+		deployment.Peers = append(deployment.Peers, peer)
+		if i < serving {
+			deployment.ServingPeers = append(deployment.ServingPeers, peer)
+		}
+		hosts = append(hosts, &selector.Selector{Host: peer.Name, Domain: "a", Random: rand.New(rand.NewPCG(uint64(i), 2))})
+	}
+	return hosts
+}
+
 // countPicks returns how often each replica is picked in 200 picks at the given time.
 func countPicks(s *selector.Selector, deployment *wigeonspindle.DeploymentState, now time.Time) map[string]int {
 	counts := make(map[string]int)
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -177,7 +177,7 @@
 		case deployment := <-d.deployments.C():
 			d.applyDeployment(deployment)
 		case deadline := <-d.stopQueue.C():
-			d.finishBy(deadline)
+			d.applyStop(deadline)
 		case <-next.C:
 		case <-d.stop:
 			return
@@ -187,7 +187,7 @@
 	}
 }
 
-func (d *Dispatcher) finishBy(deadline time.Time) {
+func (d *Dispatcher) applyStop(deadline time.Time) {
 	now := d.Clock.Now()
 	d.Gatherer.FinishBy = deadline
 	for p := range d.running {
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -76,8 +76,8 @@
 	IdleSince  time.Time
 	ReuseUntil time.Time
 
-	dialled    time.Time // dialled is when Run was called.
-	memory     *bodyMemory
+	dialled    time.Time     // dialled is when Run was called.
+	memory     *bodyMemory   // memory is that of all connections of the pool.
 	limit      limitedReader // limit bounds the response that is being read.
 	jobs       *queuer.Ring[*Job]
 	conn       net.Conn
