--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -188,7 +188,7 @@
 	return state, step
 }
 
-// requiredTime returns the time in which nearly all calls of a route are answered: the latency
+// requiredTime returns the time in which replicas answer 99 of 100 sends of a route: the latency
 // objective until there are samples.
 func (g *Gatherer) requiredTime(route *wigeonspindle.Route, now time.Time) time.Duration {
 	if estimate := g.estimator(route).Estimate(now); estimate.Count > 0 {
