--- a/internal/coordination/selector/pace.go
+++ b/internal/coordination/selector/pace.go
@@ -27,10 +27,6 @@
 	// limitTurnDuration is the length of a turn at a replica that states a request limit. The turns
 	// that overlap with any limitWindow number 1.5 times the limit.
 	limitTurnDuration = 2 * time.Second
-	// firstLimitFraction is the fraction of a limit that counts when a host first hears of it. The replica
-	// may have stated a lower limit to other hosts, and those that have not heard of it yet send as
-	// before.
-	firstLimitFraction = 0.5
 	// minLimit replaces a lower request limit, in requests a second. Without any request, no host would
 	// learn that the limit has ended.
 	minLimit = 0.1
@@ -53,14 +49,9 @@
 }
 
 // recordLimit records the limit in a response. A limit that rises counts after limitWindow, because
-// the calls of that time are measured by the lower one. The first limit counts as firstLimitFraction of
-// itself for that time.
+// the calls of that time are measured by the lower one.
 func (st *replicaStats) recordLimit(limit wigeonspindle.RequestLimit, now time.Time) {
-	switch {
-	case !limit.Known:
-	case !st.limit.Known:
-		st.lowerLimit, st.lowerUntil = firstLimitFraction*limit.PerSecond, now.Add(limitWindow)
-	case limit.PerSecond > st.limit.PerSecond:
+	if st.limit.Known && limit.Known && limit.PerSecond > st.limit.PerSecond {
 		st.lowerLimit, st.lowerUntil = st.lowestLimit(now), now.Add(limitWindow)
 	}
 	st.limit = limit
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -84,7 +84,7 @@
 	load             wigeonspindle.TargetLoad
 	loadReportedAt   time.Time
 	limit            wigeonspindle.RequestLimit // limit is the one in the last response.
-	// lowerLimit is a limit that holds until lowerUntil if it is lower than limit.
+	// lowerLimit is the limit before it rose, which holds until lowerUntil.
 	lowerLimit float64
 	lowerUntil time.Time
 	// sentAt is when the last call was sent while the replica was cold or limited, and previousSentAt
