--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -230,7 +231,9 @@
 	for _, suspicion := range r.suspicions {
 		state.Suspicions = append(state.Suspicions, suspicion)
 	}
-	slices.SortFunc(state.Suspicions, func(a, b wigeonspindle.Suspicion) int { return strings.Compare(a.Name(), b.Name()) })
+	slices.SortFunc(state.Suspicions, func(a, b wigeonspindle.Suspicion) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Crash, b.Crash))
+	})
 	slices.SortFunc(state.Peers, func(a, b wigeonspindle.Peer) int { return strings.Compare(a.Name, b.Name) })
 	state.ServingPeers = state.Peers
 	if r.SelectServing != nil {
