--- a/internal/coordination/selector/cold_test.go
+++ b/internal/coordination/selector/cold_test.go
@@ -61,17 +61,7 @@
 					call(i, after)
 				}
 			}
-			most := 0
-			for i := range sent {
-				count := 0
-				for _, other := range sent[i:] {
-					if other < sent[i]+time.Second {
-						count++
-					}
-				}
-				most = max(most, count)
-			}
-			if got, want := most, int(coldFactor*test.rate)+coldSlack; got > want {
+			if got, want := mostWithin(sent, time.Second), int(coldFactor*test.rate)+coldSlack; got > want {
 				t.Errorf("calls in the worst second: got %d, want at most %d", got, want)
 			}
 			busy := (seconds*time.Second - test.pause - time.Second).Seconds()
--- a/internal/coordination/selector/limit_test.go
+++ b/internal/coordination/selector/limit_test.go
@@ -89,14 +89,7 @@
 					call(away+i, after)
 				}
 			}
-			most, first := 0, 0
-			for i := range sent {
-				for sent[i]-sent[first] >= limitWindow {
-					first++
-				}
-				most = max(most, i-first+1)
-			}
-			if got, want := most, int(limitFactor*test.limit*limitWindow.Seconds())+limitSlack; got > want {
+			if got, want := mostWithin(sent, limitWindow), int(limitFactor*test.limit*limitWindow.Seconds())+limitSlack; got > want {
 				t.Errorf("calls in the worst %v: got %d, want at most %d", limitWindow, got, want)
 			}
 			busy := (seconds*time.Second - test.pause - time.Second).Seconds()
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -48,6 +48,18 @@
 	return hosts
 }
 
+// mostWithin returns the largest number of times within a window. The times are in order.
+func mostWithin(times []time.Duration, window time.Duration) int {
+	most, first := 0, 0
+	for i := range times {
+		for times[i]-times[first] >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // countPicks returns how often each replica is picked in 200 picks at the given time.
 func countPicks(s *selector.Selector, deployment *wigeonspindle.DeploymentState, now time.Time) map[string]int {
 	counts := make(map[string]int)
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -139,17 +139,21 @@
 
 // wait processes events until a call has a result.
 func (h *harness) wait(t *testing.T, id string) wigeonspindle.Exchange {
+	t.Helper()
+	h.waitUntil(t, "result of "+id, func() bool { _, ok := h.results[id]; return ok })
+	return h.results[id]
+}
+
+// waitUntil processes events until a condition holds.
+func (h *harness) waitUntil(t *testing.T, description string, condition func() bool) {
 	t.Helper()
 	timeout := time.After(waitTimeout)
-	for {
-		if exchange, ok := h.results[id]; ok {
-			return exchange
-		}
+	for !condition() {
 		select {
 		case event := <-h.events.C():
 			h.pool.HandleEvent(event)
 		case <-timeout:
-			t.Fatalf("result of %s: got none, want one", id)
+			t.Fatalf("%s: got none, want one", description)
 		}
 	}
 }
@@ -393,15 +397,7 @@
 	}
 	h.dialled = nil
 	s.crash()
-	timeout := time.After(waitTimeout)
-	for len(h.dialled) == 0 {
-		select {
-		case event := <-h.events.C():
-			h.pool.HandleEvent(event)
-		case <-timeout:
-			t.Fatal("dial of the replica after its last connection ended: got none, want one")
-		}
-	}
+	h.waitUntil(t, "dial of the replica after its last connection ended", func() bool { return len(h.dialled) > 0 })
 	if h.dialled[0] {
 		t.Error("dial of the crashed replica: got accepted, want refused")
 	}
