noticer: what a replica says about itself binds the host

Cause: Server-Leaving and Retry-After with a replica's 503 were not read.

Change: the package noticer keeps both for one start of a replica, also while its entry expires and returns. A leaving replica is a last resort for half of the drain period (new setting "drain"). A replica that wants no requests gets none; jobs that wait for a connection to it are withdrawn, and afterwards the sends in flight grow from one. A call that no replica can take in time is refused at once, and its Retry-After follows the earliest time at which one may, spread over a quarter of the wait. Invalid values are ignored and logged with replica, field and range.

--- a/call.go
+++ b/call.go
@@ -38,6 +38,19 @@
 	WrongReplica bool
 	Load         TargetLoad
 	Limit        RequestLimit
+	// Leaving reports that the replica stops soon and wants no new work.
+	Leaving bool
+	// RetryAfter is how long the replica wants no request from this host; 0 when it has not said so.
+	RetryAfter time.Duration
+	// InvalidFields are the fields with values that the dialect ignores.
+	InvalidFields []InvalidField
+}
+
+// InvalidField is a field of a message with a value outside the accepted range.
+type InvalidField struct {
+	Name     string
+	Value    string
+	Accepted string // Accepted describes the accepted values.
 }
 
 // Success reports whether the replica answered the call.
--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -18,6 +18,8 @@
 	HardDeadline time.Time
 	// Suspicions are those that follow from the last result.
 	Suspicions []wigeonspindle.Suspicion
+	// Noticed reports that the replica of the last result has said something new about itself.
+	Noticed bool
 
 	gatherer      *Gatherer
 	fingerprints  []uint64
@@ -42,7 +44,7 @@
 	p := &c.parts[sent.PartIndex]
 	p.removeInFlight(sent.Number)
 	estimator := c.gatherer.estimator(c.Route)
-	c.gatherer.Selector.RecordResult(sent.Replica, sent.SentAt, sent.ExpectedLatency, exchange, now)
+	c.Noticed = c.gatherer.Selector.RecordResult(sent.Replica, sent.SentAt, sent.ExpectedLatency, exchange, now)
 	c.gatherer.Throttler.Observe(p.pool, c.overloadSignal(exchange), now)
 	if exchange.Response != nil && exchange.Response.Success() {
 		estimator.Observe(exchange.Took, now)
@@ -192,9 +194,9 @@
 	case sufficient:
 		step.Reply = c.successReply()
 	case cannotSucceed:
-		step.Reply = c.failureReply()
+		step.Reply = c.failureReply(now)
 	default:
-		step.Reply = c.refusalReply(wigeonspindle.CodeExpired, "the deadline has passed")
+		step.Reply = c.refusalReply(wigeonspindle.CodeExpired, "the deadline has passed", now)
 	}
 }
 
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -72,6 +72,9 @@
 	// is added, so that refused callers do not all retry at once.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 300 * time.Millisecond
+	// retryAfterSpread is the least random part, as a fraction of the time until replicas take calls
+	// again: the callers that are refused during that time return over a part of it.
+	retryAfterSpread = 0.25
 	// leavingRetryAfter is when a caller that a stopping host refused should retry: other hosts can
 	// take the call at once.
 	leavingRetryAfter = 10 * time.Millisecond
@@ -134,7 +137,7 @@
 	if !g.FinishBy.IsZero() {
 		if now.Add(g.requiredTime(route, now)).After(g.FinishBy) {
 			state.decided = true
-			reply := state.refusalReply(wigeonspindle.CodeLeaving, "the host stops before the call can be finished")
+			reply := state.refusalReply(wigeonspindle.CodeLeaving, "the host stops before the call can be finished", now)
 			reply.RetryAfter = leavingRetryAfter
 			return state, Step{Reply: reply}
 		}
@@ -158,17 +161,17 @@
 	}
 	if until := g.Correlator.QuarantinedUntil(state.fingerprints, now); !until.IsZero() {
 		state.decided = true
-		reply := state.refusalReply(wigeonspindle.CodeQuarantined, "the call has crashed replicas")
+		reply := state.refusalReply(wigeonspindle.CodeQuarantined, "the call has crashed replicas", now)
 		reply.RetryAfter = until.Sub(now)
 		return state, Step{Reply: reply}
 	}
 	if !state.hasEnoughReplicas(now) {
 		state.decided = true
-		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeUnavailable, "too few shards have a usable replica")}
+		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeUnavailable, "too few shards have a usable replica", now)}
 	}
 	if len(route.Shards) > 0 && !g.Throttler.Admit(pools, len(pools)-state.requiredParts, now) {
 		state.decided = true
-		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeOverloaded, "the shards are overloaded")}
+		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeOverloaded, "the shards are overloaded", now)}
 	}
 	var step Step
 	if len(route.Shards) > 0 {
@@ -266,7 +269,7 @@
 	used := func(pool string) bool { _, ok := deployment.Catalog.Pools[pool]; return ok }
 	g.Budget.Prune(used)
 	g.Throttler.Prune(used)
-	g.Selector.Retain(known)
+	g.Selector.Retain(known, now)
 	g.Correlator.RetainTargets(known)
 	g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
 }
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -82,10 +82,14 @@
 		return // The sends in flight use up the attempts of the route.
 	}
 	if p.lastRefused && p.sendCount < maxSendsPerPart && len(p.inFlight) == 0 && c.allReplicasTried(p, now) {
-		delay := initialRetryDelay << p.refusals
+		retryAt := now.Add(initialRetryDelay << p.refusals)
 		p.refusals++
-		if now.Add(delay).Before(c.SoftDeadline) {
-			p.retryAt = now.Add(delay)
+		available, ok := c.gatherer.Selector.AvailableAt(c.Deployment, p.pool, now)
+		if available.After(retryAt) {
+			retryAt = available
+		}
+		if ok && retryAt.Before(c.SoftDeadline) {
+			p.retryAt = retryAt
 			return
 		}
 	}
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/noticer"
 )
 
 // Parameters of the choice.
@@ -59,6 +60,8 @@
 	Host   string // Host is the name of this host among the peers of the deployment.
 	Domain string // Domain is the failure domain of this host; replicas of other domains cost more.
 	Random *rand.Rand
+	// Noticer holds what replicas say about themselves.
+	Noticer noticer.Noticer
 
 	stats            map[string]*replicaStats
 	sharedDeployment *wigeonspindle.DeploymentState // sharedDeployment is the state for which cachedShare was computed.
@@ -93,20 +96,22 @@
 }
 
 // Pick returns the replica of a pool with the lowest cost for a call with the expected latency.
-// It skips the replicas already tried and reports false when none is usable.
+// It skips the replicas already tried and reports false when none is usable. Replicas that leave are
+// chosen only if no other is usable.
 func (s *Selector) Pick(deployment *wigeonspindle.DeploymentState, pool string, tried []string, expected time.Duration, now time.Time) (*wigeonspindle.Replica, bool) {
 	var best *wigeonspindle.Replica
-	lowest := math.Inf(1)
+	lowest, bestLeaves := math.Inf(1), false
 	for _, replica := range deployment.Replicas[pool] {
-		if !replica.AcceptsWork(deployment.OutDomains) || slices.Contains(tried, replica.ID) {
+		stats := s.statsFor(replica.ID, now)
+		if slices.Contains(tried, replica.ID) || !s.isUsable(deployment, replica, stats, expected, now) {
 			continue
 		}
-		stats := s.statsFor(replica.ID, now)
-		if !stats.usable(replica, expected, now) || !s.rateAllows(deployment, replica, stats, now) {
+		leaves := s.Noticer.Leaving(replica)
+		if best != nil && leaves && !bestLeaves {
 			continue
 		}
-		if cost := s.cost(replica, stats, expected, now); cost < lowest {
-			best, lowest = replica, cost
+		if cost := s.cost(replica, stats, expected, now); cost < lowest || bestLeaves && !leaves {
+			best, lowest, bestLeaves = replica, cost, leaves
 		}
 	}
 	return best, best != nil
@@ -115,14 +120,37 @@
 // HasUsableReplica reports whether some replica of the pool could take a call now.
 func (s *Selector) HasUsableReplica(deployment *wigeonspindle.DeploymentState, pool string, expected time.Duration, now time.Time) bool {
 	for _, replica := range deployment.Replicas[pool] {
-		stats := s.statsFor(replica.ID, now)
-		if replica.AcceptsWork(deployment.OutDomains) && stats.usable(replica, expected, now) && s.rateAllows(deployment, replica, stats, now) {
+		if s.isUsable(deployment, replica, s.statsFor(replica.ID, now), expected, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// isUsable reports whether a replica could take a call now.
+func (s *Selector) isUsable(deployment *wigeonspindle.DeploymentState, replica *wigeonspindle.Replica, stats *replicaStats, expected time.Duration, now time.Time) bool {
+	return replica.AcceptsWork(deployment.OutDomains) && s.Noticer.Accepts(replica, len(stats.pendingSends), now) &&
+		stats.usable(replica, expected, now) && s.rateAllows(deployment, replica, stats, now)
+}
+
+// AvailableAt returns the earliest time at which a replica of the pool may take a call, by what the
+// replicas have said and by their connection failures; ok is false if that is not known for any.
+func (s *Selector) AvailableAt(deployment *wigeonspindle.DeploymentState, pool string, now time.Time) (at time.Time, ok bool) {
+	for _, replica := range deployment.Replicas[pool] {
+		available, accepts := s.Noticer.AvailableAt(replica, now)
+		if !accepts || !replica.AcceptsWork(deployment.OutDomains) {
+			continue
+		}
+		if stats, known := s.stats[replica.ID]; known && stats.blockedUntil.After(available) {
+			available = stats.blockedUntil
+		}
+		if !ok || available.Before(at) {
+			at, ok = available, true
+		}
+	}
+	return at, ok
+}
+
 // RecordSend records a send. It reports whether the send probes a silent replica: a probe needs a
 // new connection, because the open connections may be dead while the replica is not.
 func (s *Selector) RecordSend(replica *wigeonspindle.Replica, now time.Time) (probe bool) {
@@ -138,8 +166,9 @@
 	return stats.silent
 }
 
-// RecordResult records the result of a send, given when it was sent and its expected latency.
-func (s *Selector) RecordResult(replica *wigeonspindle.Replica, sent time.Time, expected time.Duration, exchange wigeonspindle.Exchange, now time.Time) {
+// RecordResult records the result of a send, given when it was sent and its expected latency. It reports
+// whether the replica has said something new about itself.
+func (s *Selector) RecordResult(replica *wigeonspindle.Replica, sent time.Time, expected time.Duration, exchange wigeonspindle.Exchange, now time.Time) (noticed bool) {
 	stats := s.statsFor(replica.ID, now)
 	stats.removePending(sent)
 	stats.decayAverages(now)
@@ -150,12 +179,13 @@
 		if exchange.Code != wigeonspindle.CodeCancelled && exchange.Code != wigeonspindle.CodeOverloaded {
 			stats.backOff(now)
 		}
-		return
+		return false
 	}
 	if exchange.Response.WrongReplica {
 		stats.replacedStartMs, stats.replacedAt = replica.StartUnixMs, now
-		return
+		return false
 	}
+	noticed = s.Noticer.Record(replica, exchange.Response, now)
 	stats.recordLimit(exchange.Response.Limit, now)
 	stats.consecutiveFailures, stats.blockedUntil = 0, time.Time{}
 	stats.answeredAt, stats.silent, stats.unansweredProbes = now, false, 0
@@ -168,6 +198,7 @@
 		ratio := min(float64(exchange.Took)/float64(max(expected, time.Millisecond)), maxLatencyRatio)
 		stats.latencyRatio += averageWeight * (ratio - stats.latencyRatio)
 	}
+	return noticed
 }
 
 // Limit returns the limit that a replica stated in its last response.
@@ -194,7 +225,8 @@
 }
 
 // Retain drops the statistics of replicas that are not known and have no send in flight.
-func (s *Selector) Retain(known map[string]bool) {
+func (s *Selector) Retain(known map[string]bool, now time.Time) {
+	s.Noticer.Retain(known, now)
 	for id, stats := range s.stats {
 		if !known[id] && len(stats.pendingSends) == 0 {
 			delete(s.stats, id)
--- a/internal/coordination/selector/selector_test.go
+++ b/internal/coordination/selector/selector_test.go
@@ -190,14 +190,14 @@
 func TestRetain(t *testing.T) {
 	s, deployment := newSelector(), newDeployment()
 	recordExchange(s, deployment, 0, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}, at(0))
-	s.Retain(nil)
+	s.Retain(nil, at(0))
 	if got := countPicks(s, deployment, at(time.Millisecond))["one"]; got == 0 {
 		t.Error("picks of a replica that was removed and came back: got none, want some")
 	}
 	for i := range 3 { // A replica with a send in flight is retained.
 		s.RecordSend(&wigeonspindle.Replica{ID: fmt.Sprint(i), Pool: "pool"}, at(0))
 	}
-	s.Retain(nil)
+	s.Retain(nil, at(0))
 	s.DiscardSend("0", at(0))
 }
 
--- a/internal/protocol/parser/gateway.go
+++ b/internal/protocol/parser/gateway.go
@@ -28,6 +28,8 @@
 	StoreAddress string `json:"store" validate:"required,hostport"`
 	// ShutdownGrace is the time between the termination signal and the kill.
 	ShutdownGrace wigeonspindle.Duration `json:"grace" validate:"min=1000000000,max=3600000000000"`
+	// DrainPeriod is how long a replica serves after it has said that it leaves.
+	DrainPeriod wigeonspindle.Duration `json:"drain,omitempty" validate:"min=0,max=3600000000000"`
 	// RetryBudgetRatio and RetryBudgetSlack limit the retries to a pool in each
 	// RetryBudgetWindow, over all hosts.
 	RetryBudgetRatio  float64                `json:"ratio" validate:"min=0,max=10"`
--- a/internal/protocol/parser/gateway_test.go
+++ b/internal/protocol/parser/gateway_test.go
@@ -25,6 +25,7 @@
 		{"ratio below zero", `"ratio": 0.2`, `"ratio": -1`, "ratio"},
 		{"grace as a number", `"grace": "6s"`, `"grace": 6`, "grace"},
 		{"grace too short", `"grace": "6s"`, `"grace": "1ms"`, "grace"},
+		{"drain period below zero", `"grace": "6s"`, `"grace": "6s", "drain": "-1s"`, "drain"},
 		{"no processor", `"share": 0.25`, `"share": 0`, "share"},
 		{"too little memory", `"memory": 206`, `"memory": 1`, "memory"},
 		{"unknown field", `"files": 2870`, `"files": 2870, "colour": 1`, "colour"},
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -54,6 +54,9 @@
 	// before it is reported to the other hosts. By then, a call whose replica crashed for another
 	// reason has been answered.
 	suspicionReportDelay = 500 * time.Millisecond
+	// invalidFieldLogInterval is the least time between two log lines about invalid values of a field.
+	// A replica that sends one usually sends it in each response.
+	invalidFieldLogInterval = 5 * time.Second
 	// retryAfter is the advised delay before a caller retries a call that was refused because
 	// the queue was full, or the configuration or the route was not known.
 	retryAfter = 500 * time.Millisecond
@@ -82,9 +85,11 @@
 	timers      scheduler.Timers
 	deployment  *wigeonspindle.DeploymentState
 	matcher     *matcher.Matcher
-	serving     bool // serving reports whether callers are directed to this host.
-	stop        chan struct{}
-	done        sync.WaitGroup
+	// invalidFieldLoggedAt is when each field with an invalid value was last logged.
+	invalidFieldLoggedAt map[string]time.Time
+	serving              bool // serving reports whether callers are directed to this host.
+	stop                 chan struct{}
+	done                 sync.WaitGroup
 }
 
 type pendingCall struct {
@@ -111,6 +116,7 @@
 	d.deployments = queuer.New[*wigeonspindle.DeploymentState](1)
 	d.stopQueue = queuer.New[time.Time](1)
 	d.running = make(map[*pendingCall]bool)
+	d.invalidFieldLoggedAt = make(map[string]time.Time)
 	d.events = queuer.New[exchanger.Event](eventQueueSize)
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
@@ -229,7 +235,7 @@
 	}
 	for pool := range pools {
 		for _, replica := range deployment.Replicas[pool] {
-			if replica.AcceptsWork(deployment.OutDomains) {
+			if replica.AcceptsWork(deployment.OutDomains) && !d.Gatherer.Selector.Noticer.Leaving(replica) {
 				d.pool.Preconnect(replica)
 			}
 		}
@@ -347,15 +353,22 @@
 	limit := d.Gatherer.Selector.Limit(key.send.Replica.ID)
 	step := p.state.HandleResult(key.send, exchange, now)
 	d.logLimit(key.send.Replica, limit)
+	d.logInvalidFields(key.send.Replica, exchange.Response, now)
+	noticed := p.state.Noticed
+	if noticed {
+		d.logNotice(key.send.Replica, exchange.Response, now)
+	}
 	d.reportSuspicions(p.state.Suspicions, now)
-	if !decided {
+	switch {
+	case !decided:
 		d.execute(p, step, now)
-		return
-	}
-	if len(p.jobs) == 0 && p.timer != nil {
+	case len(p.jobs) == 0 && p.timer != nil:
 		d.timers.Remove(p.timer)
 		p.timer = nil
 	}
+	if noticed {
+		d.pool.Withdraw(key.send.Replica.ID)
+	}
 }
 
 // closeSilent closes the connections to a replica that has answered a probe, if they have been
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -73,3 +74,25 @@
 			"limited_before", before.Known, "limit_per_second_before", before.PerSecond, "serving_hosts", len(d.deployment.ServingPeers))
 	}
 }
+
+// logNotice logs what a replica has said about itself.
+func (d *Dispatcher) logNotice(replica *wigeonspindle.Replica, response *wigeonspindle.Response, now time.Time) {
+	available, ok := d.Gatherer.Selector.Noticer.AvailableAt(replica, now)
+	d.Logger.Info("replica said in a response when it takes requests", "replica", replica.ID, "pool", replica.Pool, "leaving", response.Leaving,
+		"retry_after", response.RetryAfter, "status", response.Status, "used_later", ok, "used_again_in", available.Sub(now), "entry_sequence", replica.Sequence, "entry_start", replica.StartUnixMs)
+}
+
+// logInvalidFields logs the fields of a response that are ignored.
+func (d *Dispatcher) logInvalidFields(replica *wigeonspindle.Replica, response *wigeonspindle.Response, now time.Time) {
+	if response == nil {
+		return
+	}
+	for _, field := range response.InvalidFields {
+		if now.Sub(d.invalidFieldLoggedAt[field.Name]) < invalidFieldLogInterval {
+			continue
+		}
+		d.invalidFieldLoggedAt[field.Name] = now
+		d.Logger.Warn("ignored an invalid field in a response of a replica", "replica", replica.ID, "pool", replica.Pool, "field", field.Name,
+			"value", fmt.Sprintf("%.64q", field.Value), "accepted", field.Accepted)
+	}
+}
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -3,10 +3,16 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
+// errWithdrawn is the error of a job that was still waiting for a connection when its replica said that it
+// wants no requests.
+var errWithdrawn = errors.New("the replica wants no requests")
+
 // Pool holds the connections of a host to all replicas. It is not safe for concurrent use: one
 // goroutine calls its methods, receives from Events and passes each event to HandleEvent.
 type Pool struct {
@@ -94,6 +100,19 @@
 	}
 }
 
+// Withdraw fails the jobs that wait for a connection to a replica, as not sent.
+func (p *Pool) Withdraw(replica string) {
+	r, ok := p.replicas[replica]
+	if !ok {
+		return
+	}
+	waiting := r.waiting
+	r.waiting = nil
+	for _, job := range waiting {
+		p.OnResult(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeOverloaded}, errWithdrawn)
+	}
+}
+
 // CloseSilent closes the connections to a replica that have been idle since before a time, and
 // those whose job started before it. It is used when the replica answers on another connection.
 func (p *Pool) CloseSilent(replica string, before time.Time) {
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -17,6 +17,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/noticer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
@@ -105,7 +106,9 @@
 	s.reporter = &watcher.Reporter{Registry: s.Registry, Clock: s.Clock, Logger: s.Logger}
 	s.dispatcher = &dispatcher.Dispatcher{
 		Gatherer: &gatherer.Gatherer{
-			Selector:     &selector.Selector{Host: s.Settings.Name, Domain: s.Settings.Domain, Random: random},
+			Selector: &selector.Selector{
+				Host: s.Settings.Name, Domain: s.Settings.Domain, Random: random, Noticer: noticer.Noticer{DrainPeriod: s.Settings.DrainPeriod.Value()},
+			},
 			Throttler:    &throttler.Throttler{Random: random},
 			Correlator:   &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: maxSuspects}, SuspicionTTL: suspicionTTL},
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.RetryBudgetRatio, Slack: s.Settings.RetryBudgetSlack, Window: s.Settings.RetryBudgetWindow.Value()},
