gatherer: leave out shards only as far as unusable ones allow

Cause: a search left out shards under pressure up to its least coverage, without counting the shards that had no usable replica. Both together fell below the coverage, and the search was refused although enough shards could serve it (TestSkipBesideUnusable: the second of 50 calls).

Change: only the shards that can be missed besides the unusable ones are left out.

Result: TestSkipBesideUnusable passes; no call is refused.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -161,8 +161,8 @@
 	return count
 }
 
-// hasEnoughReplicas reports whether the parts with a usable replica give the required coverage.
-func (c *CallState) hasEnoughReplicas(now time.Time) bool {
+// usableParts returns the number of parts with a usable replica.
+func (c *CallState) usableParts(now time.Time) int {
 	usable := 0
 	expected := c.expectedLatency(now)
 	for i := range c.parts {
@@ -170,7 +170,7 @@
 			usable++
 		}
 	}
-	return usable >= c.requiredParts
+	return usable
 }
 
 // decide sets the reply if the call can be decided now, and the time of the next tick otherwise.
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -165,7 +165,8 @@
 		reply.RetryAfter = until.Sub(now)
 		return state, Step{Reply: reply}
 	}
-	if !state.hasEnoughReplicas(now) {
+	spare := state.usableParts(now) - state.requiredParts
+	if spare < 0 {
 		state.decided = true
 		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeUnavailable, "too few shards have a usable replica", now)}
 	}
@@ -175,7 +176,7 @@
 	}
 	var step Step
 	if len(route.Shards) > 0 {
-		for _, i := range g.Throttler.SkipPools(pools, len(pools)-state.requiredParts, now) {
+		for _, i := range g.Throttler.SkipPools(pools, spare, now) {
 			state.failPart(&state.parts[i])
 			state.SkippedParts++
 		}
