platform: ignore odd entries of other writers, and say which field is wrong

Cause: entries of replicas were checked for presence, not for range. On the code before, 12 of 23 odd entries of TestOddEntries named a replica to use: ports out of range, host names, capacities, warm-up times, sequences and starts beyond any real value (a start far in the future hid the replica's own later entries), names of 100 kB. Entries of hosts were not checked at all: one with a capacity of 1e300 made all other hosts stand by. No entry ended a process or stopped the list (TestEntriesBesideOddOnes passes before, too), but changes of more than 8 MB together were asked for again without end (TestLargeWatchResponse).

--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -38,6 +39,9 @@
 	// relayInterval is the pause between requests to a relay. It limits the request rate when the
 	// state of the relay changes constantly.
 	relayInterval = 50 * time.Millisecond
+	// faultLogInterval is the least time between two log lines about invalid entries. A writer of one
+	// may write it again and again.
+	faultLogInterval = 5 * time.Second
 	// sourceBackoff is how long a relay is not used after it failed.
 	sourceBackoff = 4 * time.Second
 )
@@ -63,6 +67,7 @@
 	revision         uint64
 	listed           bool
 	unavailableSince time.Time // unavailableSince is when the registry stopped answering; zero while it answers.
+	faultLoggedAt    time.Time // faultLoggedAt is when an invalid entry was last logged.
 	failures         int       // failures counts consecutive failed calls to the registry.
 	worker
 }
@@ -189,10 +194,30 @@
 		w.Logger.Info("read the whole registry state", "source", w.sourceName(), "revision", batch.Revision, "entries", len(batch.Updates), "registry_state_age", batch.Age)
 	}
 	w.revision = batch.Revision
+	w.logFaults(batch.Updates, now)
 	w.logUpdates(registrar.Diff(previous, deployment))
 	w.OnChange(deployment)
 }
 
+// logFaults logs the first invalid entry and how many there are.
+func (w *Watcher) logFaults(updates []wigeonspindle.RegistryUpdate, now time.Time) {
+	first, count := -1, 0
+	for i := range updates {
+		if updates[i].Fault != "" {
+			count++
+			if first < 0 {
+				first = i
+			}
+		}
+	}
+	if count == 0 || now.Sub(w.faultLoggedAt) < faultLogInterval {
+		return
+	}
+	w.faultLoggedAt = now
+	w.Logger.Warn("ignored invalid entries of the registry", "entries", count, "first", fmt.Sprintf("%.200q", updates[first].Name),
+		"fault", updates[first].Fault, "source", w.sourceName(), "revision", w.revision)
+}
+
 func (w *Watcher) markAvailable(now time.Time) {
 	w.failures = 0
 	if !w.unavailableSince.IsZero() {
--- a/replica.go
+++ b/replica.go
@@ -75,6 +75,9 @@
 	Peer    Peer
 	// Suspicion is set in the entry of a call that may crash replicas.
 	Suspicion Suspicion
+	// Fault says why the entry is ignored, and names the field and the accepted range; it is empty if the
+	// entry is valid.
+	Fault string
 }
 
 // RegistryBatch holds entries of the registry, or changes of them.
