gatherer, exchanger: move a send that gets no connection to another replica

A part whose other replica had failed it once was not sent there again, and refused parts were given up after 75 ms although the deadline was 800 ms.

Ruled out: a shorter dial timeout, which would fail sends after a common restart, when hundreds of connections open at once.

Change: a send that waits for a connection for several times the usual dial moves to another replica, or back to one that has failed the part once while its attempts allow. At the deadline the sends without a connection are withdrawn first, so that the refusal can say not run. A part that the call needs is retried, one replica at a time, until shortly before the deadline.

--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -55,7 +55,8 @@
 	// initialRetryDelay is the time until a part whose replicas all refused is sent again. It
 	// doubles with each retry.
 	initialRetryDelay = 5 * time.Millisecond
-	maxSendsPerPart   = 5
+	// maxSendsPerPart lets the retries of a refused part extend over about half a second.
+	maxSendsPerPart = 8
 	// serialRetryThreshold is the number of broken connections from which a call without any
 	// answer retries one part at a time, so that a call that crashes replicas does not also
 	// crash the second replica of every shard.
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -37,25 +37,34 @@
 // or a retry is scheduled.
 func (c *CallState) sendPart(index int, kind wigeonspindle.SendKind, now time.Time, step *Step) {
 	p := &c.parts[index]
-	expected := c.expectedLatency(now)
-	replica, ok := c.gatherer.Selector.Pick(c.Deployment, p.pool, p.triedReplicas, expected, now)
-	if p.sendCount > 0 && !c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
-		ok = false
+	replica, ok := c.pickReplica(p, now)
+	switch {
+	case ok:
+		c.sendTo(index, kind, replica, now, step)
+	case kind == wigeonspindle.SendHedge:
+		p.refusals = maxSendsPerPart // The part is not hedged again.
+	case len(p.inFlight) == 0 && p.retryAt.IsZero():
+		c.failPart(p)
 	}
-	if ok && p.sendCount > 0 && (p.possibleArrivals > 0 || len(p.inFlight) > 0) {
+}
+
+// pickReplica chooses the replica for the next send of a part and takes a repeat from the budget if a
+// send of the part may have arrived. It reports false if the part cannot be sent.
+func (c *CallState) pickReplica(p *part, now time.Time) (*wigeonspindle.Replica, bool) {
+	replica, ok := c.gatherer.Selector.Pick(c.Deployment, p.pool, p.triedReplicas, c.expectedLatency(now), now)
+	if !ok || p.sendCount > 0 && !c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
+		return nil, false
+	}
+	if p.sendCount > 0 && (p.possibleArrivals > 0 || len(p.inFlight) > 0) {
 		ok = p.sendCount < maxSendsPerPart && c.gatherer.Budget.AllowRepeat(p.pool, c.budgetShareCount(), now)
 	}
-	if !ok {
-		if kind == wigeonspindle.SendHedge {
-			p.refusals = maxSendsPerPart // The part is not hedged again.
-			return
-		}
-		if len(p.inFlight) == 0 && p.retryAt.IsZero() {
-			c.failPart(p)
-		}
-		return
-	}
-	send := Send{PartIndex: index, Number: p.sendCount, Kind: kind, Replica: replica, SentAt: now, ExpectedLatency: expected}
+	return replica, ok
+}
+
+// sendTo sends a part to a replica.
+func (c *CallState) sendTo(index int, kind wigeonspindle.SendKind, replica *wigeonspindle.Replica, now time.Time, step *Step) {
+	p := &c.parts[index]
+	send := Send{PartIndex: index, Number: p.sendCount, Kind: kind, Replica: replica, SentAt: now, ExpectedLatency: c.expectedLatency(now)}
 	p.sendCount++
 	p.triedReplicas = append(p.triedReplicas, replica.ID)
 	send.Probe = c.gatherer.Selector.RecordSend(replica, now)
@@ -69,10 +78,41 @@
 	step.Sends = append(step.Sends, send)
 }
 
+// HandleStalled moves a send that still waits for a connection to another replica. It reports whether the
+// send is withdrawn; otherwise no other replica can take the part, and the send goes on waiting.
+func (c *CallState) HandleStalled(sent Send, now time.Time) (Step, bool) {
+	step := Step{NextTick: c.nextTick}
+	p := &c.parts[sent.PartIndex]
+	c.gatherer.Selector.RecordStalled(sent.Replica, now)
+	if c.decided || p.response != nil || p.failed || len(p.inFlight) != 1 || !c.mayRunAgain(p) {
+		return step, false
+	}
+	tried := p.triedReplicas
+	if c.allReplicasTried(p, now) {
+		p.triedReplicas = []string{sent.Replica.ID}
+	}
+	p.inFlight = p.inFlight[:0] // It has not reached the replica and needs no budget.
+	replica, ok := c.pickReplica(p, now)
+	if !ok {
+		p.triedReplicas, p.inFlight = tried, append(p.inFlight, sent)
+		return step, false
+	}
+	c.gatherer.Selector.DiscardSend(sent.Replica.ID, sent.SentAt)
+	c.sendTo(sent.PartIndex, wigeonspindle.SendRetry, replica, now, &step)
+	step.NextTick = c.partNextTick(p, step.NextTick, now)
+	c.nextTick = step.NextTick
+	return step, true
+}
+
+// mayRunAgain reports whether one more replica may run a part.
+func (c *CallState) mayRunAgain(p *part) bool {
+	return p.possibleRuns == 0 || c.Route.Class != wigeonspindle.ClassOnce && p.possibleRuns < c.Route.Attempts
+}
+
 // handleFailedSend retries a part after a failed send, schedules the retry or fails the part.
 func (c *CallState) handleFailedSend(index int, now time.Time, step *Step) {
 	p := &c.parts[index]
-	if p.possibleRuns > 0 && (c.Route.Class == wigeonspindle.ClassOnce || p.possibleRuns >= c.Route.Attempts) {
+	if !c.mayRunAgain(p) {
 		if len(p.inFlight) == 0 {
 			c.failPart(p)
 		}
@@ -81,14 +121,10 @@
 	if p.possibleRuns+len(p.inFlight) >= c.Route.Attempts {
 		return // The sends in flight use up the attempts of the route.
 	}
-	if p.lastRefused && p.sendCount < maxSendsPerPart && len(p.inFlight) == 0 && c.allReplicasTried(p, now) {
-		retryAt := now.Add(initialRetryDelay << p.refusals)
-		p.refusals++
-		available, ok := c.gatherer.Selector.AvailableAt(c.Deployment, p.pool, now)
-		if available.After(retryAt) {
-			retryAt = available
-		}
-		if ok && retryAt.Before(c.SoftDeadline) {
+	// After the first round the part goes to one replica at a time.
+	roundEnded := p.lastRefused && p.refusals > 0 || c.allReplicasTried(p, now)
+	if len(p.inFlight) == 0 && p.sendCount < maxSendsPerPart && roundEnded {
+		if retryAt, ok := c.nextRound(p, now); ok {
 			p.retryAt = retryAt
 			return
 		}
@@ -96,6 +132,26 @@
 	c.retryPart(index, now, step)
 }
 
+// nextRound returns when a part that all usable replicas have refused or failed is sent to them again. It
+// reports false if none of them may take it in time.
+func (c *CallState) nextRound(p *part, now time.Time) (time.Time, bool) {
+	if !p.lastRefused && !c.gatherer.Selector.HasUsableReplica(c.Deployment, p.pool, c.expectedLatency(now), now) {
+		return time.Time{}, false
+	}
+	retryAt := now.Add(initialRetryDelay << p.refusals)
+	p.refusals++
+	available, ok := c.gatherer.Selector.AvailableAt(c.Deployment, p.pool, now)
+	if available.After(retryAt) {
+		retryAt = available
+	}
+	// A part without which the call fails is worth a late answer.
+	last := c.SoftDeadline
+	if len(c.parts)-c.failedParts-1 < c.requiredParts {
+		last = c.HardDeadline.Add(-c.expectedLatency(now))
+	}
+	return retryAt, ok && retryAt.Before(last)
+}
+
 // retryPart sends a failed part again. A call that may crash replicas retries one part at a time
 // and delays the other retries.
 func (c *CallState) retryPart(index int, now time.Time, step *Step) {
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -48,6 +48,9 @@
 	// failurePenalty is the cost of a failure, as a multiple of the expected latency. It is
 	// weighted by the failure rate of the replica.
 	failurePenalty = 8.0
+	// stalledPeriod is how long a replica that does not accept a connection costs as much as one that
+	// fails all calls. It is shorter than the time in which a crashed replica is back.
+	stalledPeriod = 500 * time.Millisecond
 	// maxLoadAge is how long a reported load is used.
 	maxLoadAge = 150 * time.Millisecond
 	// costJitter is the largest random addition to a cost, as a fraction of it, so that hosts
@@ -81,7 +84,8 @@
 	replacedStartMs  int64
 	replacedAt       time.Time
 	answeredAt       time.Time
-	silent           bool // silent is set when sends are overdue, until the replica answers.
+	stalledUntil     time.Time // stalledUntil is the end of the time in which the replica is avoided.
+	silent           bool      // silent is set when sends are overdue, until the replica answers.
 	unansweredProbes int
 	probedAt         time.Time
 	load             wigeonspindle.TargetLoad
@@ -188,7 +192,7 @@
 	noticed = s.Noticer.Record(replica, exchange.Response, now)
 	stats.recordLimit(exchange.Response.Limit, now)
 	stats.consecutiveFailures, stats.blockedUntil = 0, time.Time{}
-	stats.answeredAt, stats.silent, stats.unansweredProbes = now, false, 0
+	stats.answeredAt, stats.silent, stats.unansweredProbes, stats.stalledUntil = now, false, 0, time.Time{}
 	failed := 0.0
 	if exchange.Response.Refused || exchange.Response.Status >= 500 {
 		failed = 1
@@ -214,6 +218,11 @@
 	s.statsFor(replica.ID, now).backOff(now)
 }
 
+// RecordStalled records that a replica has not accepted a connection for some time.
+func (s *Selector) RecordStalled(replica *wigeonspindle.Replica, now time.Time) {
+	s.statsFor(replica.ID, now).stalledUntil = now.Add(stalledPeriod)
+}
+
 // DiscardSend removes a send that was recorded but not made.
 func (s *Selector) DiscardSend(id string, sent time.Time) {
 	if stats, ok := s.stats[id]; ok {
@@ -252,7 +261,11 @@
 	}
 	// Requests in slots slow a call down a little; requests beyond them make it queue.
 	queueing := 0.3*queue/slots + max(queue+1-slots, 0)/slots
-	cost := float64(expected) * (latencyRatio*(1+queueing) + failurePenalty*stats.failureRate)
+	failureRate := stats.failureRate
+	if now.Before(stats.stalledUntil) {
+		failureRate = 1
+	}
+	cost := float64(expected) * (latencyRatio*(1+queueing) + failurePenalty*failureRate)
 	if replica.Domain != s.Domain {
 		cost += float64(crossDomainPenalty)
 	}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -302,6 +302,9 @@
 // tick runs when the timer of a call fires. It aborts the remaining sends of a decided call.
 func (d *Dispatcher) tick(p *pendingCall, now time.Time) {
 	if !p.state.Decided() {
+		if !now.Before(p.state.HardDeadline) {
+			d.withdrawWaiting(p)
+		}
 		d.execute(p, p.state.Tick(now), now)
 		return
 	}
@@ -329,6 +332,41 @@
 	d.Meter.CountSend(p.route.Name, send.Kind)
 	if !d.pool.Send(send.Replica, job, limit, maxIdle) {
 		d.handleResult(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeOverloaded}, nil)
+		return
+	}
+	if job.Waiting() {
+		d.timers.AddOnce(now.Add(d.pool.DialPatience()), func(now time.Time) { d.handleStalled(job, now) })
+	}
+}
+
+// handleStalled moves a send to another replica if it still waits for a connection.
+func (d *Dispatcher) handleStalled(job *exchanger.Job, now time.Time) {
+	key := job.Key.(jobKey)
+	p := key.pending
+	if !job.Waiting() || p.state.Decided() || !slices.Contains(p.jobs, job) {
+		return
+	}
+	step, withdrawn := p.state.HandleStalled(key.send, now)
+	if !withdrawn {
+		d.timers.AddOnce(now.Add(d.pool.DialPatience()), func(now time.Time) { d.handleStalled(job, now) })
+		return
+	}
+	d.Logger.Info("send moved to another replica: no connection yet", "call", p.call.ID, "route", p.route.Name, "pool", key.send.Replica.Pool,
+		"replica", key.send.Replica.ID, "waited", now.Sub(key.send.SentAt), "kind", key.send.Kind)
+	d.pool.Take(key.send.Replica.ID, job)
+	p.removeJob(job)
+	d.execute(p, step, now)
+}
+
+// withdrawWaiting removes the sends of a call that have no connection, so that its reply can say that they
+// have not run.
+func (d *Dispatcher) withdrawWaiting(p *pendingCall) {
+	for _, job := range slices.Clone(p.jobs) {
+		send := job.Key.(jobKey).send
+		if job.Waiting() && d.pool.Take(send.Replica.ID, job) {
+			p.removeJob(job)
+			p.state.DiscardSend(send)
+		}
 	}
 }
 
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -51,6 +51,9 @@
 	written atomic.Bool // written reports that bytes may have reached the replica.
 }
 
+// Waiting reports whether the job has no connection yet.
+func (j *Job) Waiting() bool { return j.started.IsZero() }
+
 // Event reports a change of a connection. A connection first reports that it opened or failed to
 // open, then one event for each job, and finally its end. A job submitted after the end has no
 // event of its own and was not sent.
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -9,6 +9,18 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
+const (
+	// dialTimeWeight is the weight of a new sample in the average time of a dial.
+	dialTimeWeight = 0.1
+	// dialPatienceFactor is the time after which a dial counts as stalled, as a multiple of the average.
+	// Many connections that open at once take a few times the average.
+	dialPatienceFactor = 4
+	// minDialPatience and maxDialPatience bound that time. It has to leave room for another replica
+	// within the objective of an urgent call.
+	minDialPatience = 25 * time.Millisecond
+	maxDialPatience = 200 * time.Millisecond
+)
+
 // errWithdrawn is the error of a job that was still waiting for a connection when its replica said that it
 // wants no requests.
 var errWithdrawn = errors.New("the replica wants no requests")
@@ -32,6 +44,7 @@
 	// the dial has failed unless the failure is the result of a job that waited for the connection.
 	OnDial func(replica *wigeonspindle.Replica, accepted bool, dialled time.Time)
 
+	dialTime time.Duration // dialTime is the moving average of the time in which replicas accept a connection.
 	memory   *bodyMemory
 	replicas map[string]*replicaConnections
 	closing  map[*Connection]bool // closing holds aborted idle connections until they report their end.
@@ -86,12 +99,9 @@
 // Abort closes the connection that carries a job, or removes the job from the queue.
 func (p *Pool) Abort(replica string, job *Job) {
 	r := p.connectionsTo(replica)
-	for i, waiting := range r.waiting {
-		if waiting == job {
-			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
-			p.OnResult(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeCancelled}, nil)
-			return
-		}
+	if p.Take(replica, job) {
+		p.OnResult(job, wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeCancelled}, nil)
+		return
 	}
 	for connection, active := range r.active {
 		if active == job {
@@ -100,6 +110,36 @@
 	}
 }
 
+// Take removes a job that waits for a connection. It reports false if the job does not wait any more.
+func (p *Pool) Take(replica string, job *Job) bool {
+	r, ok := p.replicas[replica]
+	if !ok {
+		return false
+	}
+	for i, waiting := range r.waiting {
+		if waiting == job {
+			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// DialPatience returns how long a job should wait for a connection before another replica is tried: several
+// times the usual time in which replicas accept one.
+func (p *Pool) DialPatience() time.Duration {
+	return min(max(time.Duration(dialPatienceFactor*float64(p.dialTime)), minDialPatience), maxDialPatience)
+}
+
+// recordDial updates the usual time in which replicas accept a connection.
+func (p *Pool) recordDial(took time.Duration) {
+	if p.dialTime == 0 {
+		p.dialTime = took
+		return
+	}
+	p.dialTime += time.Duration(dialTimeWeight * float64(took-p.dialTime))
+}
+
 // Withdraw fails the jobs that wait for a connection to a replica, as not sent.
 func (p *Pool) Withdraw(replica string) {
 	r, ok := p.replicas[replica]
@@ -198,6 +238,7 @@
 	switch {
 	case event.Opened:
 		delete(r.opening, connection)
+		p.recordDial(p.Clock.Now().Sub(connection.dialled))
 		p.OnDial(connection.Replica, true, connection.dialled)
 		p.assignNext(r, connection)
 	case event.Job != nil:
