follower: only the relays ask a registry that is down

Cause: when the relays' state was older than 2 s, every host asked the registry itself, each second, and renewed its lease each 0.4 s.

Ruled out: longer intervals for all hosts, which delay what a host acts on in every small outage; reads with the serializable option, which the store turns away as well while it is down.

Change: the choice of the source is a decision of its own (package follower). A relay says whether its state is stale or not settled yet. While it is stale, hosts wait for the relays, whose number doubles when the state is 4 and 8 s old, for a registry that turns away just the usual ones. A relay that is turned away follows another one for a time. A host keeps its position at the relay from which its state comes, and gets changes at once after an outage. Hosts renew leases after 0.8 to 2 s, and while the registry is known to be down after 5 s or when it answers again.

TestOutage bounds the calls of 600 hosts in an outage to twice those of 17 hosts and 60 more.

--- a/internal/coordination/balancer/relays.go
+++ b/internal/coordination/balancer/relays.go
@@ -14,10 +14,11 @@
 const minRelays = 3
 
 // RegistryRelays returns the relays that a host can follow, the preferred one first, so that
-// the registry does not have to serve every host. It returns none for a relay, which follows
-// the registry itself. The relays are the hosts of the greatest capacity in each failure
-// domain: one in each, or more when there are fewer than minRelays domains.
-func RegistryRelays(peers []wigeonspindle.Peer, self string) []wigeonspindle.Peer {
+// the registry does not have to serve every host, and whether the host is a relay itself. The relays
+// are the hosts of the greatest capacity in each failure domain: one in each, or more when there are
+// fewer than minRelays domains. Each escalation doubles them, for a registry that turns away the
+// usual ones while it serves other hosts. A host that is not among the peers is not a relay.
+func RegistryRelays(peers []wigeonspindle.Peer, self wigeonspindle.Peer, escalations int) (relays []wigeonspindle.Peer, isRelay bool) {
 	ordered := slices.Clone(peers)
 	slices.SortFunc(ordered, func(a, b wigeonspindle.Peer) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
@@ -26,30 +27,27 @@
 	for _, peer := range ordered {
 		hostsByDomain[peer.Domain]++
 	}
-	relaysPerDomain := (minRelays + len(hostsByDomain) - 1) / max(len(hostsByDomain), 1)
+	relaysPerDomain := (minRelays + len(hostsByDomain) - 1) / max(len(hostsByDomain), 1) << escalations
 	relaysByDomain := make(map[string]int)
-	var relays []wigeonspindle.Peer
-	ownDomain := ""
 	for _, peer := range ordered {
-		if peer.Name == self {
-			ownDomain = peer.Domain
+		if relaysByDomain[peer.Domain] >= relaysPerDomain {
+			continue
 		}
-		if relaysByDomain[peer.Domain] < relaysPerDomain {
-			relaysByDomain[peer.Domain]++
-			relays = append(relays, peer)
+		relaysByDomain[peer.Domain]++
+		if peer.Name == self.Name {
+			isRelay = true
+			continue
 		}
-	}
-	if ownDomain == "" || slices.ContainsFunc(relays, func(peer wigeonspindle.Peer) bool { return peer.Name == self }) {
-		return nil
+		relays = append(relays, peer)
 	}
 	// Relays of the own domain come first. The hash spreads the hosts of a domain over the relays
 	// of the other domains.
 	distance := func(peer wigeonspindle.Peer) uint64 {
-		if peer.Domain == ownDomain {
+		if peer.Domain == self.Domain {
 			return 0
 		}
-		return 1 + xxhash.Sum64String(self+" "+peer.Name)>>1
+		return 1 + xxhash.Sum64String(self.Name+" "+peer.Name)>>1
 	}
 	slices.SortStableFunc(relays, func(a, b wigeonspindle.Peer) int { return cmp.Compare(distance(a), distance(b)) })
-	return relays
+	return relays, isRelay
 }
--- /dev/null
+++ b/internal/coordination/follower/follower.go
@@ -0,0 +1,180 @@
+// Package follower decides from where a host reads the state of the registry: from the registry itself, from a
+// relay, which is another host that passes the state on, or from nowhere for a moment. The load pattern it
+// answers is an outage of the registry with hundreds of hosts: only the relays go on asking it, so that the
+// calls to it grow with the number of failure domains and not with the number of hosts.
+package follower
+
+import (
+	"errors"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// Intervals and limits of the choice.
+const (
+	// unreachableBackoff is how long a relay is left out after it could not be reached.
+	unreachableBackoff = 4 * time.Second
+	// staleBackoff is how long a relay is left out after it had no state of the registry to pass on. It
+	// is short, because the relay learns first when the registry answers again.
+	staleBackoff = 700 * time.Millisecond
+	// escalationInterval is the age of the state at which the number of relays doubles, and doubles
+	// again at twice that age.
+	escalationInterval = 4 * time.Second
+	maxEscalations     = 2
+	// escalationPeriod is how long the number of relays stays raised.
+	escalationPeriod = 10 * time.Second
+	// directInterval is the interval at which a host asks the registry itself while all relays that
+	// it reaches have no state to pass on.
+	directInterval = 20 * time.Second
+	// detourFailures is the number of failed calls in a row after which a relay looks for another
+	// relay, because the registry may turn away this host only.
+	detourFailures = 2
+	// detourPeriod is how long a relay follows another one before it asks the registry again.
+	detourPeriod = 4 * time.Second
+)
+
+// Source is where a host reads next.
+type Source struct {
+	// Relay is the host to read from; nil means the registry.
+	Relay *wigeonspindle.Peer
+	// Wait is set when there is no source: the time until the next choice.
+	Wait time.Duration
+}
+
+// Follower holds what a host has observed of its sources. It is not safe for concurrent use.
+type Follower struct {
+	// Self is the entry of this host.
+	Self wigeonspindle.Peer
+	// SelectRelays returns the relays in order of preference and whether this host is one of them.
+	SelectRelays func(peers []wigeonspindle.Peer, self wigeonspindle.Peer, escalations int) (relays []wigeonspindle.Peer, isRelay bool)
+
+	relayPeers       []wigeonspindle.Peer // relayPeers and relayEscalations are those for which cachedRelays was computed.
+	relayEscalations int
+	cachedRelays     []wigeonspindle.Peer
+	isRelay          bool
+	escalated        int // escalated is the number of escalations in use until escalatedUntil.
+	escalatedUntil   time.Time
+	backoffs         map[string]backoff
+	current          string    // current is the name of the followed relay.
+	registryFailures int       // registryFailures counts failed calls to the registry in a row.
+	directAt         time.Time // directAt is when the registry may be asked directly, or asked again after a detour.
+}
+
+// backoff is the time for which a relay is left out.
+type backoff struct {
+	until time.Time
+	stale bool // stale reports that the relay was reached but had no state to pass on.
+}
+
+// Choose returns the source for the next read. The parameter seen is when the registry last answered this
+// host or a host that it followed.
+func (f *Follower) Choose(peers []wigeonspindle.Peer, seen, now time.Time) Source {
+	relays, isRelay := f.relays(peers, f.escalations(seen, now))
+	if isRelay && !f.detours(now) || len(relays) == 0 {
+		return Source{}
+	}
+	var first *wigeonspindle.Peer
+	stale, next := false, now.Add(unreachableBackoff)
+	for i := range relays {
+		held := f.backoffs[relays[i].Name]
+		if !now.Before(held.until) {
+			if relays[i].Name == f.current {
+				return Source{Relay: &relays[i]}
+			}
+			if first == nil {
+				first = &relays[i]
+			}
+			continue
+		}
+		stale = stale || held.stale
+		if held.until.Before(next) {
+			next = held.until
+		}
+	}
+	switch {
+	case first != nil:
+		return Source{Relay: first}
+	case isRelay || !stale:
+		return Source{} // No other host can tell.
+	case !now.Before(f.directAt):
+		f.directAt = now.Add(directInterval)
+		return Source{}
+	}
+	return Source{Wait: next.Sub(now)}
+}
+
+// detours reports whether a relay looks for another one.
+func (f *Follower) detours(now time.Time) bool {
+	return f.registryFailures >= detourFailures && (f.current == "" || now.Before(f.directAt))
+}
+
+// escalations returns how often the number of relays is doubled at the age of the state. It falls only
+// after escalationPeriod, because the additional relays are needed as long as the usual ones are turned away.
+func (f *Follower) escalations(seen, now time.Time) int {
+	escalations := 0
+	if !seen.IsZero() {
+		escalations = min(max(int(now.Sub(seen)/escalationInterval), 0), maxEscalations)
+	}
+	if escalations >= f.escalated || !now.Before(f.escalatedUntil) {
+		f.escalated, f.escalatedUntil = escalations, now.Add(escalationPeriod)
+	}
+	return f.escalated
+}
+
+// relays returns the result of SelectRelays, which it computes anew when the peers change.
+func (f *Follower) relays(peers []wigeonspindle.Peer, escalations int) ([]wigeonspindle.Peer, bool) {
+	same := len(peers) == len(f.relayPeers) && escalations == f.relayEscalations && (len(peers) == 0 || &peers[0] == &f.relayPeers[0])
+	if !same || f.cachedRelays == nil {
+		f.relayPeers, f.relayEscalations = peers, escalations
+		f.cachedRelays, f.isRelay = f.SelectRelays(peers, f.Self, escalations)
+	}
+	return f.cachedRelays, f.isRelay
+}
+
+// RecordRead records that a read from a source has succeeded.
+func (f *Follower) RecordRead(source Source, now time.Time) {
+	if source.Relay == nil {
+		f.current, f.registryFailures = "", 0
+		return
+	}
+	delete(f.backoffs, source.Relay.Name)
+	switch {
+	case f.registryFailures < detourFailures:
+		f.directAt = now.Add(directInterval)
+	case f.current != source.Relay.Name:
+		f.directAt = now.Add(detourPeriod)
+	}
+	f.current = source.Relay.Name
+}
+
+// RecordFailure records that a read from a source has failed.
+func (f *Follower) RecordFailure(source Source, err error, now time.Time) {
+	f.current = ""
+	if source.Relay == nil {
+		f.registryFailures++
+		f.directAt = now.Add(directInterval)
+		return
+	}
+	held := backoff{until: now.Add(unreachableBackoff)}
+	if errors.Is(err, wigeonspindle.ErrStale) || errors.Is(err, wigeonspindle.ErrUnsettled) {
+		held = backoff{until: now.Add(staleBackoff), stale: true}
+	}
+	if f.backoffs == nil {
+		f.backoffs = make(map[string]backoff)
+	}
+	f.backoffs[source.Relay.Name] = held
+}
+
+// Prune forgets the hosts that are no longer among the peers.
+func (f *Follower) Prune(peers []wigeonspindle.Peer) {
+	known := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		known[peer.Name] = true
+	}
+	for name := range f.backoffs {
+		if !known[name] {
+			delete(f.backoffs, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/follower/follower_test.go
@@ -0,0 +1,200 @@
+package follower_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
+)
+
+var start = time.Date(2026, 12, 5, 12, 0, 0, 0, time.UTC)
+
+var errUnreachable = errors.New("unreachable")
+
+// newPeers returns hosts spread over failure domains, one strong host in each.
+func newPeers(count, domains int) []wigeonspindle.Peer {
+	peers := make([]wigeonspindle.Peer, count)
+	for i := range peers {
+		peers[i] = wigeonspindle.Peer{Name: fmt.Sprintf("h%d", i), Domain: fmt.Sprintf("d%d", i%domains), Capacity: 0.2}
+		if i < domains {
+			peers[i].Capacity = 0.8
+		}
+	}
+	return peers
+}
+
+// fleet plays hosts that read the state of the registry from it or from one another.
+type fleet struct {
+	peers     []wigeonspindle.Peer
+	followers []*follower.Follower
+	next      []time.Time
+	seen      []time.Time
+	// refused reports whether the registry turns away a host at a time, and unreachable whether a host cannot
+	// be reached by others.
+	refused     func(host int, now time.Time) bool
+	unreachable func(host int, now time.Time) bool
+	calls       int // calls counts the calls to the registry.
+}
+
+func newFleet(count, domains int) *fleet {
+	f := &fleet{peers: newPeers(count, domains), next: make([]time.Time, count), seen: make([]time.Time, count)}
+	for i, peer := range f.peers {
+		f.followers = append(f.followers, &follower.Follower{Self: peer, SelectRelays: balancer.RegistryRelays})
+		f.seen[i] = start
+		f.next[i] = start.Add(time.Duration(i) * time.Millisecond)
+	}
+	f.refused = func(int, time.Time) bool { return false }
+	f.unreachable = f.refused
+	return f
+}
+
+// play plays the fleet for a period in steps of 10 ms.
+func (f *fleet) play(from, to time.Duration) {
+	for now := start.Add(from); now.Before(start.Add(to)); now = now.Add(10 * time.Millisecond) {
+		for i := range f.followers {
+			if !now.Before(f.next[i]) {
+				f.next[i] = now.Add(f.step(i, now))
+			}
+		}
+	}
+}
+
+// step makes one read of a host and returns the time until its next one.
+func (f *fleet) step(host int, now time.Time) time.Duration {
+	source := f.followers[host].Choose(f.peers, f.seen[host], now)
+	if source.Wait > 0 {
+		return source.Wait
+	}
+	if source.Relay == nil {
+		f.calls++
+		if f.refused(host, now) {
+			f.followers[host].RecordFailure(source, errUnreachable, now)
+			return time.Second
+		}
+		f.followers[host].RecordRead(source, now)
+		f.seen[host] = now
+		return time.Second
+	}
+	var relay int
+	_, _ = fmt.Sscanf(source.Relay.Name, "h%d", &relay) // All names have this form.
+	var err error
+	switch {
+	case f.unreachable(relay, now):
+		err = errUnreachable
+	case now.Sub(f.seen[relay]) > 2*time.Second:
+		err = wigeonspindle.ErrStale
+	}
+	if err != nil {
+		f.followers[host].RecordFailure(source, err, now)
+		return 10 * time.Millisecond
+	}
+	f.followers[host].RecordRead(source, now)
+	f.seen[host] = f.seen[relay]
+	return 500 * time.Millisecond
+}
+
+// oldest returns the age of the oldest state among the hosts for which include is true.
+func (f *fleet) oldest(now time.Time, include func(host int) bool) time.Duration {
+	var oldest time.Duration
+	for i := range f.seen {
+		if include(i) {
+			oldest = max(oldest, now.Sub(f.seen[i]))
+		}
+	}
+	return oldest
+}
+
+func everyHost(int) bool { return true }
+
+// TestOutage guards against calls to a registry that is down growing with the number of hosts, and against
+// hosts that learn late that it answers again.
+func TestOutage(t *testing.T) {
+	const down, up = 5 * time.Second, 11 * time.Second
+	calls := make(map[int]int)
+	for _, hosts := range []int{17, 195, 600} {
+		f := newFleet(hosts, 6)
+		f.refused = func(_ int, now time.Time) bool {
+			return !now.Before(start.Add(down)) && now.Before(start.Add(up))
+		}
+		f.play(0, down)
+		before := f.calls
+		f.play(down, up)
+		calls[hosts] = f.calls - before
+		f.play(up, up+3*time.Second)
+		if got, most := f.oldest(start.Add(up+3*time.Second), everyHost), 2500*time.Millisecond; got > most {
+			t.Errorf("%d hosts: oldest state 3 s after the outage: got %v, want at most %v", hosts, got, most)
+		}
+	}
+	if got, most := calls[600], 2*calls[17]+60; got > most {
+		t.Errorf("calls of 600 hosts during an outage: got %d, want at most %d (17 hosts: %d, 195 hosts: %d)", got, most, calls[17], calls[195])
+	}
+}
+
+// TestTurnedAway guards against hosts that stay without the state because the registry turns away some of them,
+// among these all relays, while it serves the others.
+func TestTurnedAway(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		hosts   int
+		domains int
+		refused func(host int) bool
+	}{
+		{"all relays of a small fleet", 15, 3, func(host int) bool { return host < 3 }},
+		{"all relays of a large fleet", 195, 6, func(host int) bool { return host < 6 }},
+		{"a third of the hosts", 195, 6, func(host int) bool { return host%3 == 0 }},
+		{"half of the hosts", 108, 4, func(host int) bool { return host%2 == 0 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(test.hosts, test.domains)
+			f.play(0, 5*time.Second)
+			f.refused = func(host int, _ time.Time) bool { return test.refused(host) }
+			before := f.calls
+			f.play(5*time.Second, 15*time.Second)
+			if got, most := f.oldest(start.Add(15*time.Second), everyHost), 4*time.Second; got > most {
+				t.Errorf("oldest state after 10 s: got %v, want at most %v", got, most)
+			}
+			if got, most := f.calls-before, 20*(test.domains*4); got > most {
+				t.Errorf("calls in 10 s: got %d, want at most %d", got, most)
+			}
+		})
+	}
+}
+
+// TestCutOff guards against a host that the registry serves but that no other host can reach, and that waits
+// for the relays.
+func TestCutOff(t *testing.T) {
+	f := newFleet(195, 6)
+	f.play(0, 5*time.Second)
+	f.unreachable = func(int, time.Time) bool { return true }
+	f.play(5*time.Second, 8*time.Second)
+	if got, most := f.oldest(start.Add(8*time.Second), everyHost), 1500*time.Millisecond; got > most {
+		t.Errorf("oldest state of hosts that are cut off from one another: got %v, want at most %v", got, most)
+	}
+}
+
+// TestBackToRegistry guards against a relay that follows another host for ever after the registry has turned it
+// away for a time.
+func TestBackToRegistry(t *testing.T) {
+	f := newFleet(30, 3)
+	f.play(0, 5*time.Second)
+	f.refused = func(host int, now time.Time) bool { return host == 0 && now.Before(start.Add(10*time.Second)) }
+	f.play(5*time.Second, 16*time.Second)
+	if source := f.followers[0].Choose(f.peers, f.seen[0], start.Add(16*time.Second)); source.Relay != nil || source.Wait > 0 {
+		t.Errorf("source of the relay after the registry serves it again: got %+v, want the registry", source)
+	}
+}
+
+// TestSteady guards against hosts that ask the registry although relays have its state.
+func TestSteady(t *testing.T) {
+	f := newFleet(195, 6)
+	f.play(0, 2*time.Second)
+	before := f.calls
+	f.play(2*time.Second, 12*time.Second)
+	if got, most := f.calls-before, 6*11; got > most {
+		t.Errorf("calls in 10 s without a fault: got %d, want at most %d, one a second of each relay", got, most)
+	}
+}
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// Available reports whether the registry has answered the last call.
+func (r *Registrar) Available() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.unavailable
+}
+
 // Settled reports whether other hosts can adopt the state: after an outage it holds no entry
 // that is kept only until its owner has had time to register again.
 func (r *Registrar) Settled() bool {
--- a/internal/transport/sharer/client.go
+++ b/internal/transport/sharer/client.go
@@ -52,6 +52,9 @@
 	}
 	reply, err := messenger.NewDRPCRelayClient(c.conn).Follow(ctx, request)
 	if err != nil {
+		if known, ok := decodeError(err); ok {
+			return wigeonspindle.RegistryBatch{}, errors.Wrapf(known, "request updates from host %s", c.Peer.Name)
+		}
 		c.Close()
 		return wigeonspindle.RegistryBatch{}, errors.Wrapf(err, "request updates from host %s", c.Peer.Name)
 	}
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/netutil"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -30,8 +31,24 @@
 	maxFollowers = 256
 )
 
-// errStale is returned by a host whose state is older than MaxAge or not settled after an outage.
-var errStale = errors.New("the host's knowledge is old or not settled after an outage")
+// errorCodes are the codes under which errors are sent to the hosts that follow this one.
+var errorCodes = map[uint64]error{1: wigeonspindle.ErrStale, 2: wigeonspindle.ErrUnsettled}
+
+// encodeError returns an error that the client recognises.
+func encodeError(err error) error {
+	for code, known := range errorCodes {
+		if errors.Is(err, known) {
+			return drpcerr.WithCode(err, code)
+		}
+	}
+	return err
+}
+
+// decodeError returns the error of which the server has sent the code; ok is false if it has sent none.
+func decodeError(err error) (known error, ok bool) {
+	known, ok = errorCodes[drpcerr.Code(err)]
+	return known, ok
+}
 
 // Server serves the state of the registry to the hosts that follow this one.
 type Server struct {
@@ -91,8 +108,13 @@
 	}
 	now := s.Clock.Now()
 	age := now.Sub(s.Registrar.State().RegistrySeen)
-	if age > MaxAge || !s.Registrar.Settled() {
-		return nil, errStale
+	switch {
+	case age > MaxAge || !s.Registrar.Available():
+		return nil, encodeError(wigeonspindle.ErrStale)
+	case request.GetWhole() && !s.Registrar.Settled():
+		// The state may hold entries that a host with a newer one knows to be gone. Changes are passed on:
+		// a host that follows them holds the same entries.
+		return nil, encodeError(wigeonspindle.ErrUnsettled)
 	}
 	reply.Age = int64(age)
 	var err error
--- a/internal/transport/sharer/sharer_test.go
+++ b/internal/transport/sharer/sharer_test.go
@@ -65,8 +65,8 @@
 	server, address := newServer(t, r, "", 1)
 	client := &sharer.Client{Peer: wigeonspindle.Peer{Name: "relay", LinkAddress: address}, Clock: timekeeper.SystemClock{}}
 	defer client.Close()
-	if _, err := client.List(ctx); err == nil {
-		t.Error("list of a host without state: got no error, want one")
+	if _, err := client.List(ctx); !errors.Is(err, wigeonspindle.ErrStale) {
+		t.Errorf("list of a host without state: got %v, want %v", err, wigeonspindle.ErrStale)
 	}
 	r.Replace(wigeonspindle.RegistryBatch{Updates: updates()}, time.Now())
 	batch, err := client.List(ctx)
@@ -99,8 +99,16 @@
 		t.Errorf("changes: got %+v, want the removal", changes.Updates)
 	}
 	r.MarkUnavailable()
-	if _, err := client.Follow(ctx, changes.Revision, 0); err == nil {
-		t.Error("follow of a host whose registry is unavailable: got no error, want one")
+	if _, err := client.Follow(ctx, changes.Revision, 0); !errors.Is(err, wigeonspindle.ErrStale) {
+		t.Errorf("follow of a host whose registry is unavailable: got %v, want %v", err, wigeonspindle.ErrStale)
+	}
+	// The registry answers again, but its entries are not settled for RecoveryGrace.
+	r.Apply(wigeonspindle.RegistryBatch{Updates: []wigeonspindle.RegistryUpdate{{Subject: wigeonspindle.SubjectDomain, Name: "c"}}}, time.Now())
+	if later, err := client.Follow(ctx, changes.Revision, 0); err != nil || len(later.Updates) != 1 {
+		t.Errorf("changes after an outage: got %+v and %v, want one change", later.Updates, err)
+	}
+	if _, err := client.List(ctx); !errors.Is(err, wigeonspindle.ErrUnsettled) {
+		t.Errorf("list after an outage: got %v, want %v", err, wigeonspindle.ErrUnsettled)
 	}
 	server.Close()
 }
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/noticer"
@@ -117,19 +118,18 @@
 		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
 		ReportSuspicion: s.reporter.Offer, BodyMemory: int64(bodyMemoryShare * float64(s.Settings.MemoryLimitMB<<20)),
 	}
+	self := wigeonspindle.Peer{
+		Name: s.Settings.Name, CallerAddress: s.Settings.CallerAddress, LinkAddress: s.Settings.LinkAddress, Domain: s.Settings.Domain, Capacity: s.Settings.CPUCapacity(),
+	}
 	s.watcher = &watcher.Watcher{
-		Host: s.Settings.Name, Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
-		SelectRelays: balancer.RegistryRelays, OnChange: s.dispatcher.UpdateDeployment,
+		Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
+		Follower: &follower.Follower{Self: self, SelectRelays: balancer.RegistryRelays}, OnChange: s.dispatcher.UpdateDeployment,
 	}
 	s.sharer = &sharer.Server{
 		Address: s.Settings.LinkListener(), Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
 	}
-	s.announcer = &watcher.Announcer{
-		Registry: s.Registry, Logger: s.Logger, Ready: s.Ready,
-		Peer: wigeonspindle.Peer{
-			Name: s.Settings.Name, CallerAddress: s.Settings.CallerAddress, LinkAddress: s.Settings.LinkAddress, Domain: s.Settings.Domain, Capacity: s.Settings.CPUCapacity(),
-		},
-	}
+	s.announcer = &watcher.Announcer{Registry: s.Registry, Logger: s.Logger, Ready: s.Ready, Down: s.watcher.Down, Peer: self}
+	s.watcher.OnAvailable = s.announcer.Wake
 	s.rotation.Store(random.Uint64())
 	s.reporter.Run()
 	s.dispatcher.Run()
@@ -143,8 +143,8 @@
 		s.reporter.Close()
 		return errors.CombineErrors(err, s.closeListeners(context.Background()))
 	}
-	s.watcher.Run()
 	s.announcer.Run()
+	s.watcher.Run()
 	s.Logger.Info("host started", "domain", s.Settings.Domain, "callers_listen_address", s.Settings.CallerAddress)
 	return nil
 }
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 )
 
 // Lease times of the host's own entry.
@@ -17,6 +19,17 @@
 	leaseTTL = 4 * time.Second
 	// renewInterval tolerates two failed renewals within leaseTTL.
 	renewInterval = 1300 * time.Millisecond
+	// renewRetryInterval is the time until the first retry of a failed call. It doubles with each
+	// failure, up to maxRenewRetryInterval.
+	renewRetryInterval    = 800 * time.Millisecond
+	maxRenewRetryInterval = 2 * time.Second
+	// outageRetryInterval is the time between two attempts while the registry is known to be down.
+	// Wake ends it as soon as the registry answers.
+	outageRetryInterval = 5 * time.Second
+	// wakeSpread is the time over which the hosts register again after an outage.
+	wakeSpread = 300 * time.Millisecond
+	// retryJitter is the random part of an interval, as a fraction of it.
+	retryJitter = 0.25
 )
 
 // Announcer registers a host and keeps its entry in the registry alive.
@@ -26,20 +39,54 @@
 	Logger   *log.Logger
 	// Ready reports whether the host serves calls. The host is not registered before.
 	Ready func() bool
+	// Down reports whether the registry is known to be down.
+	Down func() bool
 
-	lease uint64
+	lease    uint64
+	failures int // failures counts consecutive failed calls.
+	wakes    *queuer.Ring[struct{}]
 	worker
 }
 
 // Run starts the announcer.
 func (a *Announcer) Run() {
+	a.wakes = queuer.New[struct{}](1)
 	a.start(func(ctx context.Context) {
 		for ctx.Err() == nil {
-			sleep(ctx, a.step(ctx))
+			a.wait(ctx, a.step(ctx))
 		}
 	})
 }
 
+// Wake ends the wait after a failure, because the registry answers again.
+func (a *Announcer) Wake() { a.wakes.Offer(struct{}{}) } // A wake that is queued already suffices.
+
+// wait waits until the next step. A wake shortens the wait after a failed call.
+func (a *Announcer) wait(ctx context.Context, duration time.Duration) {
+	if a.failures == 0 {
+		sleep(ctx, duration)
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-a.wakes.C():
+		sleep(ctx, time.Duration(rand.Int64N(int64(wakeSpread))))
+	}
+}
+
+// retryDelay returns the time until the next attempt after a failed call.
+func (a *Announcer) retryDelay() time.Duration {
+	delay := min(renewRetryInterval<<min(a.failures, 8), maxRenewRetryInterval)
+	if a.Down != nil && a.Down() {
+		delay = outageRetryInterval
+	}
+	a.failures++
+	return delay + time.Duration(retryJitter*rand.Float64()*float64(delay))
+}
+
 // Close stops the announcer, waits for it and removes the entry.
 func (a *Announcer) Close() {
 	a.worker.Close()
@@ -63,10 +110,10 @@
 	if a.lease == 0 {
 		lease, err := a.Registry.Register(ctx, a.Peer, leaseTTL)
 		if err != nil {
-			a.Logger.Warn("failed to register this host", "error", err)
-			return retryInterval
+			a.Logger.Warn("failed to register this host", "failures", a.failures, "error", err)
+			return a.retryDelay()
 		}
-		a.lease = lease
+		a.lease, a.failures = lease, 0
 		a.Logger.Info("registered this host", "lease_id", lease)
 		return renewInterval
 	}
@@ -77,7 +124,8 @@
 		a.lease = 0
 		return 0
 	case err != nil:
-		return retryInterval
+		return a.retryDelay()
 	}
+	a.failures = 0
 	return renewInterval
 }
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
 	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
 	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
 )
@@ -42,51 +44,58 @@
 	// faultLogInterval is the least time between two log lines about invalid entries. A writer of one
 	// may write it again and again.
 	faultLogInterval = 5 * time.Second
-	// sourceBackoff is how long a relay is not used after it failed.
-	sourceBackoff = 4 * time.Second
 )
 
-// errStale reports that the state of a relay is older than sharer.MaxAge.
-var errStale = errors.New("the state of the relay is too old")
-
 // Watcher keeps the registrar up to date from a source, which is the registry or a relay: another
 // host that passes on the state of the registry.
 type Watcher struct {
-	Host      string // Host is the name of this host.
 	Registry  wigeonspindle.Registry
 	Registrar *registrar.Registrar
 	Clock     wigeonspindle.Clock
 	Logger    *log.Logger
-	// SelectRelays returns the relays to follow, in order of preference; none means the registry.
-	SelectRelays func(peers []wigeonspindle.Peer, self string) []wigeonspindle.Peer
+	// Follower chooses the source.
+	Follower *follower.Follower
 	// OnChange is called with each new deployment state.
 	OnChange func(deployment *wigeonspindle.DeploymentState)
+	// OnAvailable is called when the registry answers again, this host or a host that it follows.
+	OnAvailable func()
 
-	relay            *sharer.Client // relay is the followed relay, or nil if the source is the registry.
-	backoffUntil     map[string]time.Time
+	source follower.Source
+	relay  *sharer.Client // relay is the followed relay, or nil if the source is the registry.
+	// base is the relay from which the present state comes, or nil if it comes from the registry.
+	base             *sharer.Client
 	revision         uint64
-	listed           bool
-	unavailableSince time.Time // unavailableSince is when the registry stopped answering; zero while it answers.
-	faultLoggedAt    time.Time // faultLoggedAt is when an invalid entry was last logged.
-	failures         int       // failures counts consecutive failed calls to the registry.
+	listed           bool        // listed reports that revision is one of base.
+	down             atomic.Bool // down reports that the registry answers neither this host nor those that it follows.
+	unavailableSince time.Time   // unavailableSince is when the registry stopped answering; zero while it answers.
+	faultLoggedAt    time.Time   // faultLoggedAt is when an invalid entry was last logged.
+	failures         int         // failures counts consecutive failed calls to the registry.
 	worker
 }
 
+// Down reports whether the registry answers neither this host nor the hosts that it follows.
+func (w *Watcher) Down() bool { return w.down.Load() }
+
 // Run starts the watcher.
 func (w *Watcher) Run() {
-	w.backoffUntil = make(map[string]time.Time)
 	w.start(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			sleep(ctx, w.step(ctx))
 		}
-		w.switchSource(nil)
+		w.dropRelay()
+		w.setBase()
 	})
 }
 
 // step makes one call to the source and returns the time until the next step.
 func (w *Watcher) step(ctx context.Context) time.Duration {
 	started := w.Clock.Now()
-	w.chooseSource(started)
+	state := w.Registrar.State()
+	source := w.Follower.Choose(state.Peers, state.RegistrySeen, started)
+	if source.Wait > 0 {
+		return source.Wait
+	}
+	w.setSource(source)
 	batch, err := w.fetch(ctx)
 	now := w.Clock.Now()
 	switch {
@@ -99,7 +108,9 @@
 	case err != nil:
 		return w.handleError(err, started, now)
 	}
+	w.Follower.RecordRead(w.source, now)
 	w.applyBatch(batch, now)
+	w.setDown(false)
 	if w.relay != nil {
 		return relayInterval
 	}
@@ -107,35 +118,45 @@
 	return max(pollInterval-now.Sub(started), 0)
 }
 
-// chooseSource sets the source: the current relay if it is still selected, else the first selected
-// relay that is not in backoff, else the registry.
-func (w *Watcher) chooseSource(now time.Time) {
-	var first *wigeonspindle.Peer
-	for _, peer := range w.SelectRelays(w.Registrar.State().Peers, w.Host) {
-		if now.Before(w.backoffUntil[peer.Name]) {
-			continue
-		}
-		if w.relay != nil && w.relay.Peer == peer {
-			return
-		}
-		if first == nil {
-			first = &peer
-		}
+// setSource changes the source.
+func (w *Watcher) setSource(source follower.Source) {
+	w.source = source
+	if source.Relay != nil && w.relay != nil && w.relay.Peer == *source.Relay {
+		return
 	}
-	if first != nil || w.relay != nil {
-		w.switchSource(first)
+	w.dropRelay()
+	switch {
+	case source.Relay == nil:
+	case w.base != nil && w.base.Peer == *source.Relay:
+		w.relay = w.base
+	default:
+		w.relay = &sharer.Client{Peer: *source.Relay, Clock: w.Clock}
 	}
 }
 
-// switchSource changes the source to a relay, or to the registry if peer is nil.
-func (w *Watcher) switchSource(peer *wigeonspindle.Peer) {
-	if w.relay != nil {
+// continues reports whether the source can tell the changes since the present state, which comes from it.
+func (w *Watcher) continues() bool { return w.listed && w.relay == w.base }
+
+// dropRelay closes the connection to the followed relay, unless the present state comes from it.
+func (w *Watcher) dropRelay() {
+	if w.relay != nil && w.relay != w.base {
 		w.relay.Close()
-		w.relay = nil
 	}
-	w.listed = false
-	if peer != nil {
-		w.relay = &sharer.Client{Peer: *peer, Clock: w.Clock}
+	w.relay = nil
+}
+
+// setBase records that the present state comes from the current source.
+func (w *Watcher) setBase() {
+	if w.base != nil && w.base != w.relay {
+		w.base.Close()
+	}
+	w.base = w.relay
+}
+
+// setDown records whether the registry answers.
+func (w *Watcher) setDown(down bool) {
+	if w.down.Swap(down) && !down && w.OnAvailable != nil {
+		w.OnAvailable()
 	}
 }
 
@@ -157,24 +178,31 @@
 	defer cancel()
 	var batch wigeonspindle.RegistryBatch
 	var err error
-	if w.listed {
+	if w.continues() {
 		batch, err = source.Follow(ctx, w.revision, wait)
 	} else {
 		batch, err = source.List(ctx)
 	}
 	if err == nil && batch.Age > sharer.MaxAge {
-		err = errStale
+		err = wigeonspindle.ErrStale
 	}
 	return batch, err
 }
 
 // handleError records a failed call and returns the time until the next step.
 func (w *Watcher) handleError(err error, started, now time.Time) time.Duration {
+	w.Follower.RecordFailure(w.source, err, now)
 	if w.relay != nil {
+		switch {
+		case errors.Is(err, wigeonspindle.ErrUnsettled):
+			w.setDown(false)
+		case errors.Is(err, wigeonspindle.ErrStale):
+			w.setDown(true)
+		}
 		w.Logger.Warn("failed to read registry state from another host", "source", w.sourceName(), "error", err)
-		w.backoffUntil[w.relay.Peer.Name] = now.Add(sourceBackoff)
 		return 0
 	}
+	w.setDown(true)
 	if w.Registrar.MarkUnavailable() {
 		w.unavailableSince = started
 		w.Logger.Warn("registry unavailable", "revision", w.revision, "error", err)
@@ -186,7 +214,7 @@
 func (w *Watcher) applyBatch(batch wigeonspindle.RegistryBatch, now time.Time) {
 	previous := w.Registrar.State()
 	var deployment *wigeonspindle.DeploymentState
-	if w.listed {
+	if w.continues() {
 		deployment = w.Registrar.Apply(batch, now)
 	} else {
 		deployment = w.Registrar.Replace(batch, now)
@@ -194,7 +222,9 @@
 		w.Logger.Info("read the whole registry state", "source", w.sourceName(), "revision", batch.Revision, "entries", len(batch.Updates), "registry_state_age", batch.Age)
 	}
 	w.revision = batch.Revision
+	w.setBase()
 	w.logFaults(batch.Updates, now)
+	w.Follower.Prune(deployment.Peers)
 	w.logUpdates(registrar.Diff(previous, deployment))
 	w.OnChange(deployment)
 }
--- a/registry.go
+++ b/registry.go
@@ -13,6 +13,14 @@
 // ErrLeaseExpired reports that a lease has ended.
 var ErrLeaseExpired = errors.New("the lease has ended")
 
+// ErrStale reports that a host that passes on the state of the registry has had no answer from it for too
+// long.
+var ErrStale = errors.New("the host's state of the registry is too old")
+
+// ErrUnsettled reports that a host has answers from the registry again, but still holds entries from before
+// an outage that the registry has not confirmed.
+var ErrUnsettled = errors.New("the host's state of the registry is not settled after an outage")
+
 // RegistryReader reads the entries of the registry.
 type RegistryReader interface {
 	// List returns all entries.
