--- a/internal/transport/sharer/client.go
+++ b/internal/transport/sharer/client.go
@@ -52,7 +52,7 @@
 	}
 	reply, err := messenger.NewDRPCRelayClient(c.conn).Follow(ctx, request)
 	if err != nil {
-		if known, ok := decodeError(err); ok {
+		if known := decodeError(err); known != nil {
 			return wigeonspindle.RegistryBatch{}, errors.Wrapf(known, "request updates from host %s", c.Peer.Name)
 		}
 		c.Close()
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -44,11 +44,8 @@
 	return err
 }
 
-// decodeError returns the error of which the server has sent the code; ok is false if it has sent none.
-func decodeError(err error) (known error, ok bool) {
-	known, ok = errorCodes[drpcerr.Code(err)]
-	return known, ok
-}
+// decodeError returns the error of which the server has sent the code, or nil if it has sent none.
+func decodeError(err error) error { return errorCodes[drpcerr.Code(err)] }
 
 // Server serves the state of the registry to the hosts that follow this one.
 type Server struct {
