throttler, selector: refuse calls at the door while the replicas' queues are long

Change: the selector estimates the time in the queue from the load that replicas report and the sends since, and the throttler refuses a call if the pool that decides about it has a longer queue than 0.4 of the longest objective of its group or 0.8 of its own. The pressure throttles from 0.4 on.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -173,6 +173,16 @@
 	return usable
 }
 
+// queueWaits returns the expected time of each part in the queue of its replica.
+func (c *CallState) queueWaits(now time.Time) []time.Duration {
+	expected := c.expectedLatency(now)
+	waits := make([]time.Duration, len(c.parts))
+	for i := range c.parts {
+		waits[i] = c.gatherer.Selector.QueueWait(c.Deployment, c.parts[i].pool, expected, now)
+	}
+	return waits
+}
+
 // decide sets the reply if the call can be decided now, and the time of the next tick otherwise.
 func (c *CallState) decide(now time.Time, step *Step) {
 	if c.decided {
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -171,6 +171,10 @@
 		state.decided = true
 		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeUnavailable, "too few shards have a usable replica", now)}
 	}
+	if len(route.Shards) > 0 && !g.Throttler.AdmitQueued(pools, state.queueWaits(now), len(pools)-state.requiredParts, route.Aim, now) {
+		state.decided = true
+		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeOverloaded, "the replicas' queues are too long", now)}
+	}
 	if len(route.Shards) > 0 && !g.Throttler.Admit(pools, len(pools)-state.requiredParts, now) {
 		state.decided = true
 		return state, Step{Reply: state.refusalReply(wigeonspindle.CodeOverloaded, "the shards are overloaded", now)}
--- a/internal/coordination/selector/selector.go
+++ b/internal/coordination/selector/selector.go
@@ -90,6 +90,8 @@
 	probedAt         time.Time
 	load             wigeonspindle.TargetLoad
 	loadReportedAt   time.Time
+	sentSinceReport  int                        // sentSinceReport counts the sends after the last load report.
+	serviceTime      time.Duration              // serviceTime is the moving average of the latency without the time in the replica's queue.
 	limit            wigeonspindle.RequestLimit // limit is the one in the last response.
 	// lowerLimit is the limit before it rose, which holds until lowerUntil.
 	lowerLimit float64
@@ -160,6 +162,7 @@
 func (s *Selector) RecordSend(replica *wigeonspindle.Replica, now time.Time) (probe bool) {
 	stats := s.statsFor(replica.ID, now)
 	stats.pendingSends = append(stats.pendingSends, now)
+	stats.sentSinceReport++
 	if stats.silent {
 		stats.unansweredProbes++
 		stats.probedAt = now
@@ -177,7 +180,7 @@
 	stats.removePending(sent)
 	stats.decayAverages(now)
 	if response := exchange.Response; response != nil && response.Load.Known {
-		stats.load, stats.loadReportedAt = response.Load, now
+		stats.recordLoad(response, exchange.Took, now)
 	}
 	if exchange.Response == nil {
 		if exchange.Code != wigeonspindle.CodeCancelled && exchange.Code != wigeonspindle.CodeOverloaded {
@@ -243,6 +246,47 @@
 	}
 }
 
+// recordLoad records the load in a response. The requests that waited at the replica tell how much of the
+// latency was spent in its queue.
+func (st *replicaStats) recordLoad(response *wigeonspindle.Response, took time.Duration, now time.Time) {
+	st.load, st.loadReportedAt, st.sentSinceReport = response.Load, now, 0
+	if !response.Success() {
+		return
+	}
+	sample := time.Duration(float64(took) / (1 + float64(response.Load.Waiting)/float64(response.Load.Slots)))
+	if st.serviceTime == 0 {
+		st.serviceTime = sample
+		return
+	}
+	st.serviceTime += time.Duration(averageWeight * float64(sample-st.serviceTime))
+}
+
+// QueueWait returns the expected time that a call spends in the queue of a replica of the pool: of the usable
+// replica that is expected to answer first. It is 0 if that one has not reported its load lately.
+func (s *Selector) QueueWait(deployment *wigeonspindle.DeploymentState, pool string, expected time.Duration, now time.Time) time.Duration {
+	wait, earliest, found := time.Duration(0), time.Duration(0), false
+	for _, replica := range deployment.Replicas[pool] {
+		stats := s.statsFor(replica.ID, now)
+		if !s.isUsable(deployment, replica, stats, expected, now) {
+			continue
+		}
+		queued := stats.queueWait(now)
+		if answered := queued + stats.serviceTime; !found || answered < earliest {
+			wait, earliest, found = queued, answered, true
+		}
+	}
+	return wait
+}
+
+// queueWait returns the expected time in the queue of the replica.
+func (st *replicaStats) queueWait(now time.Time) time.Duration {
+	if !st.load.Known || now.Sub(st.loadReportedAt) >= maxLoadAge {
+		return 0
+	}
+	queue := st.load.Running + st.load.Waiting + st.sentSinceReport + 1 - st.load.Slots
+	return time.Duration(max(queue, 0)) * st.serviceTime / time.Duration(st.load.Slots)
+}
+
 // cost returns the expected time until the answer in nanoseconds, plus penalties for failures
 // and for another failure domain.
 func (s *Selector) cost(replica *wigeonspindle.Replica, stats *replicaStats, expected time.Duration, now time.Time) float64 {
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -17,8 +17,13 @@
 	// usual load, a host makes about ten sends to a pool in this time.
 	halfLife = 400 * time.Millisecond
 	// pressureThreshold is the pressure above which calls are throttled. Pauses of single
-	// replicas reach it without an overload.
-	pressureThreshold = 0.25
+	// replicas stay well below it.
+	pressureThreshold = 0.4
+	// queueFraction is the expected time in a queue, as a fraction of the longest latency objective of
+	// the calls to the same pools, above which calls are refused.
+	queueFraction = 0.4
+	// maxQueueFraction is the same as a fraction of the call's own objective.
+	maxQueueFraction = 0.8
 	// decreaseRate is the exponential rate, per second, at which admitRatio falls at pressure 1.
 	decreaseRate = 4.0
 	// increaseRate is the linear rate, per second, at which admitRatio rises at pressure 0.
@@ -55,7 +60,8 @@
 // group is the state of the calls that go to the same pools.
 type group struct {
 	admitRatio admitRatio
-	maxMissing int // maxMissing is the minimum of maxMissing over the calls of the group.
+	longestAim time.Duration // longestAim is the longest latency objective of the calls.
+	maxMissing int           // maxMissing is the minimum of maxMissing over the calls of the group.
 }
 
 // Observe adds a sample of the pressure on a pool: 0 for an answer in time, 1 for a refusal or
@@ -90,6 +96,25 @@
 // admitted. Calls to the same pools share one ratio regardless of their maxMissing; otherwise
 // less urgent calls, which may miss more, would be admitted more often than urgent ones.
 func (t *Throttler) Admit(pools []string, maxMissing int, now time.Time) bool {
+	g := t.group(pools, maxMissing, now)
+	g.admitRatio.adjust(t.decisivePressure(pools, g.maxMissing, now), now)
+	return g.admitRatio.value >= 1 || t.Random.Float64() < g.admitRatio.value
+}
+
+// AdmitQueued reports whether a call is admitted given the expected time in the queue of each of its pools. It
+// compares the pool that decides whether the call succeeds in time. Calls to the same pools share one limit,
+// which keeps the queues long enough for the replicas never to be idle; a call with a short objective has a
+// lower one, because it would be late.
+func (t *Throttler) AdmitQueued(pools []string, waits []time.Duration, maxMissing int, aim time.Duration, now time.Time) bool {
+	g := t.group(pools, maxMissing, now)
+	g.longestAim = max(g.longestAim, aim)
+	limit := min(queueFraction*float64(g.longestAim), maxQueueFraction*float64(aim))
+	slices.Sort(waits)
+	return float64(waits[len(waits)-1-g.maxMissing]) <= limit
+}
+
+// group returns the state of the calls to the same pools.
+func (t *Throttler) group(pools []string, maxMissing int, now time.Time) *group {
 	if t.groups == nil {
 		t.groups = make(map[string]*group)
 	}
@@ -99,8 +124,7 @@
 		t.groups[pools[0]] = g
 	}
 	g.maxMissing = min(g.maxMissing, maxMissing, len(pools)-1)
-	g.admitRatio.adjust(t.decisivePressure(pools, g.maxMissing, now), now)
-	return g.admitRatio.value >= 1 || t.Random.Float64() < g.admitRatio.value
+	return g
 }
 
 // SkipPools returns the indexes of the pools to which a call is not sent, at most maxMissing.
