gatherer, exchanger: suspect a call that is answered with a failure before its replica crashes

Cause: only a connection that broke under a call counted as evidence.

Change: a failed run counts like a broken connection if the replica then accepts no connections, and its host looks whether it does once its connections have ended. A replica that still accepts connections, or another one of the pool that answers the call, clears it as before.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -89,10 +89,13 @@
 		return correlator.RecordAnswer(fingerprints, pool, replica, now)
 	case exchange.Response != nil:
 		correlator.RecordReachable(replica, sent.SentAt)
+		if exchange.Response.Failed() {
+			// The replica may crash right after the failure that it answers.
+			correlator.RecordBrokenConnection(fingerprints, pool, replica, c.isolated(sent), now)
+		}
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		isolated := len(c.parts) == 1 || c.holding() || sent.Kind != wigeonspindle.SendFirst
-		correlator.RecordBrokenConnection(fingerprints, pool, replica, isolated, now)
+		correlator.RecordBrokenConnection(fingerprints, pool, replica, c.isolated(sent), now)
 		if c.holding() {
 			c.resumeAt = now.Add(c.crashCheckDelay(now))
 			c.nextTick = earlier(c.nextTick, c.resumeAt)
@@ -103,6 +106,12 @@
 	return nil
 }
 
+// isolated reports whether the loss of a replica is not explained by the loss of others to which the call was
+// sent at the same time.
+func (c *CallState) isolated(sent Send) bool {
+	return len(c.parts) == 1 || c.holding() || sent.Kind != wigeonspindle.SendFirst
+}
+
 // Tick starts the hedges and retries that are due, and ends the call at its deadlines.
 func (c *CallState) Tick(now time.Time) Step {
 	var step Step
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -57,8 +57,8 @@
 	opening map[*Connection]bool
 	waiting []*Job
 	removed bool // removed reports that the replica is no longer in the deployment state.
-	// broke reports that a connection broke while others were open. When these end too, the replica
-	// may have crashed.
+	// broke reports that a connection broke or a request failed while connections were open. When these end
+	// too, the replica may have crashed.
 	broke bool
 }
 
@@ -256,7 +256,7 @@
 	if expected && !event.Closed && event.Exchange.Response != nil {
 		p.assignNext(r, connection)
 	}
-	if event.Exchange.Code == wigeonspindle.CodeBroken {
+	if response := event.Exchange.Response; event.Exchange.Code == wigeonspindle.CodeBroken || response != nil && response.Failed() {
 		r.broke = true
 	}
 	p.OnResult(event.Job, event.Exchange, event.Err)
