--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -156,7 +156,9 @@
 func (d *Dispatcher) Handle(ctx context.Context, call *wigeonspindle.Call) wigeonspindle.CallReply {
 	p := &pendingCall{call: call, reply: make(chan wigeonspindle.CallReply, 1)}
 	if !d.callQueue.Offer(p) {
-		return refusalReply(wigeonspindle.CodeOverloaded, wigeonspindle.NotRun, "the call queue is full", retryAfter)
+		reply := refusalReply(wigeonspindle.CodeOverloaded, wigeonspindle.NotRun, "the call queue is full", retryAfter)
+		d.logQueueFull(call, reply)
+		return reply
 	}
 	select {
 	case reply := <-p.reply:
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -209,3 +211,58 @@
 		}
 	}
 }
+
+// blockedDialect blocks the dispatcher until it is released.
+type blockedDialect struct {
+	dialect
+	release chan struct{}
+}
+
+func (b blockedDialect) Request(buffer []byte, call *wigeonspindle.Call, replica *wigeonspindle.Replica, remaining time.Duration) []byte {
+	<-b.release
+	return b.dialect.Request(buffer, call, replica, remaining)
+}
+
+// logLines counts the lines of a log that contain a text.
+type logLines struct {
+	text  string
+	count atomic.Int32
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), l.text) {
+		l.count.Add(1)
+	}
+	return len(line), nil
+}
+
+// TestQueueFull guards against calls that are refused without a log line because the dispatcher is behind.
+func TestQueueFull(t *testing.T) {
+	const calls = 400 // The queue holds 256.
+	lines := &logLines{text: "call queue is full"}
+	d := newDispatcher(&countingClock{}, make(chan wigeonspindle.Suspicion, 8))
+	blocked := blockedDialect{release: make(chan struct{})}
+	d.Dialect, d.Logger = blocked, log.New(lines)
+	d.Run()
+	d.UpdateDeployment(orderDeployment(&wigeonspindle.Replica{ID: "r", Pool: "pool", Address: crashingTarget(t), Domain: "a", Slots: 2}))
+	time.Sleep(50 * time.Millisecond)
+	var refused atomic.Int32
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() {
+			call := &wigeonspindle.Call{ID: "c", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
+			if reply := d.Handle(context.Background(), call); reply.Refusal != nil && reply.Refusal.Code == wigeonspindle.CodeOverloaded {
+				refused.Add(1)
+			}
+		})
+	}
+	for deadline := time.Now().Add(waitTimeout); lines.count.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	close(blocked.release)
+	running.Wait()
+	d.Close()
+	if got := lines.count.Load(); got == 0 || got > refused.Load() {
+		t.Errorf("log lines of calls refused at a full queue: got %d, want one for each, at most %d", got, refused.Load())
+	}
+}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -58,6 +58,15 @@
 	d.Logger.Info("replied to call", append(fields, "outcome", outcome)...)
 }
 
+// logQueueFull logs the refusal of a call that was not queued and records its metrics. Unlike the other
+// methods it is called on the goroutine of the caller.
+func (d *Dispatcher) logQueueFull(call *wigeonspindle.Call, reply wigeonspindle.CallReply) {
+	took := d.Clock.Now().Sub(call.Arrived)
+	d.Meter.ObserveReply("", string(reply.Refusal.Code), took)
+	d.Logger.Info("replied to call", "call", call.ID, "took", took, "caller_timeout", call.CallerTimeout, "verdict", reply.Refusal.Verdict,
+		"reason", reply.Refusal.Message, "retry_after", reply.RetryAfter, "queue_size", callQueueSize, "outcome", string(reply.Refusal.Code))
+}
+
 // fingerprintNames returns the names under which the hosts share suspicions against a call.
 func fingerprintNames(p *pendingCall) string {
 	var names []string
