registrar: ignore late reports of a replica that has left

Cause: a report that reached the registry after the replica's entry had been removed was taken for a new replica, so that one that had left was in use again (a report of the other operators; old heartbeats come late on these sites). TestLateReport: one replica in use after an earlier report, none wanted.

Change: the last report of a removed replica is kept for a minute, and older ones are ignored.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -26,6 +26,7 @@
 	mutex      sync.Mutex // mutex guards the fields below.
 	catalog    *wigeonspindle.Catalog
 	replicas   map[string]replicaEntry
+	removed    map[string]removedReplica
 	peers      map[string]peerEntry
 	outDomains map[string]bool
 	// suspicions holds the calls that hosts suspect of crashing replicas, by name.
@@ -45,6 +46,16 @@
 	removalPending bool // removalPending marks an entry that is kept until removalsTrustedAt.
 }
 
+// removedReplica is the last report of a replica whose entry was removed.
+type removedReplica struct {
+	replica *wigeonspindle.Replica
+	at      time.Time
+}
+
+// removedRetention is how long the last report of a removed replica is kept. Reports may reach the registry
+// seconds late.
+const removedRetention = time.Minute
+
 type peerEntry struct {
 	peer           wigeonspindle.Peer
 	removalPending bool
@@ -175,22 +186,33 @@
 
 func (r *Registrar) applyReplica(update *wigeonspindle.RegistryUpdate, now time.Time) {
 	if r.replicas == nil {
-		r.replicas = make(map[string]replicaEntry)
+		r.replicas, r.removed = make(map[string]replicaEntry), make(map[string]removedReplica)
 	}
 	known, ok := r.replicas[update.Name]
 	switch {
 	case update.Removed && ok && now.Before(r.removalsTrustedAt):
 		known.removalPending = true
 		r.replicas[update.Name] = known
-	case update.Removed || update.Replica == nil:
+	case update.Removed:
+		if ok {
+			r.removed[update.Name] = removedReplica{replica: known.replica, at: now}
+		}
 		delete(r.replicas, update.Name)
-	case ok && isStale(known.replica, update.Replica):
+	case update.Replica == nil:
+		delete(r.replicas, update.Name)
+	case ok && isStale(known.replica, update.Replica) || !ok && r.isLate(update, now):
 		// A report of an earlier run, or an older one of the same run, arrived late.
 	default:
 		r.replicas[update.Name] = replicaEntry{replica: update.Replica}
 	}
 }
 
+// isLate reports whether a report is older than the last one of a replica whose entry was removed since.
+func (r *Registrar) isLate(update *wigeonspindle.RegistryUpdate, now time.Time) bool {
+	last, ok := r.removed[update.Name]
+	return ok && now.Sub(last.at) < removedRetention && isStale(last.replica, update.Replica)
+}
+
 // isStale reports whether a report is older than the known one of the same replica.
 func isStale(known, next *wigeonspindle.Replica) bool {
 	if known.StartUnixMs != next.StartUnixMs {
@@ -219,9 +241,15 @@
 func (r *Registrar) publish(now time.Time) *wigeonspindle.DeploymentState {
 	r.publishedAt = now
 	if !now.Before(r.removalsTrustedAt) {
-		maps.DeleteFunc(r.replicas, func(_ string, entry replicaEntry) bool { return entry.removalPending })
+		for id, entry := range r.replicas {
+			if entry.removalPending {
+				r.removed[id] = removedReplica{replica: entry.replica, at: now}
+				delete(r.replicas, id)
+			}
+		}
 		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.removalPending })
 	}
+	maps.DeleteFunc(r.removed, func(_ string, last removedReplica) bool { return now.Sub(last.at) >= removedRetention })
 	state := &wigeonspindle.DeploymentState{
 		Catalog: r.catalog, OutDomains: maps.Clone(r.outDomains), RegistrySeen: r.lastAnswer,
 		Replicas: make(map[string][]*wigeonspindle.Replica),
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -218,3 +218,32 @@
 		t.Error("settled after the answer of a settled host: got false, want true")
 	}
 }
+
+// TestLateReport guards against new work for a replica that has left, because one of its earlier reports reaches the
+// registry after its entry was removed.
+func TestLateReport(t *testing.T) {
+	r := &registrar.Registrar{}
+	r.Apply(batch(replica("i", 5, 9)), at(0))
+	r.Apply(batch(removal(wigeonspindle.SubjectReplica, "i")), at(time.Second))
+	for _, step := range []struct {
+		name     string
+		start    int64
+		sequence uint64
+		after    time.Duration
+		want     int
+	}{
+		{"earlier report", 5, 8, 2 * time.Second, 0},
+		{"report of an earlier run", 4, 20, 3 * time.Second, 0},
+		{"next report of the replica", 5, 10, 4 * time.Second, 1},
+	} {
+		r.Apply(batch(replica("i", step.start, step.sequence)), at(step.after))
+		if got := len(r.State().Replicas["pool"]); got != step.want {
+			t.Errorf("replicas after an %s: got %d, want %d", step.name, got, step.want)
+		}
+	}
+	r.Replace(batch(), at(5*time.Second))
+	r.Apply(batch(replica("i", 6, 1)), at(6*time.Second))
+	if got, want := len(r.State().Replicas["pool"]), 1; got != want {
+		t.Errorf("replicas after a new run under the same ID: got %d, want %d", got, want)
+	}
+}
