--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -128,7 +129,7 @@
 	s.sharer = &sharer.Server{
 		Address: s.Settings.LinkListener(), Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
 	}
-	s.announcer = &watcher.Announcer{Registry: s.Registry, Logger: s.Logger, Ready: s.Ready, Down: s.watcher.Down, Peer: self}
+	s.announcer = &watcher.Announcer{Registry: s.Registry, Logger: s.Logger, Ready: s.Ready, Down: s.watcher.Down, Serving: s.serving, Peer: self}
 	s.watcher.OnAvailable = s.announcer.Wake
 	s.rotation.Store(random.Uint64())
 	s.reporter.Run()
@@ -205,6 +206,11 @@
 	return !s.leaving.Load() && s.registrar.State().Catalog != nil
 }
 
+// serving reports whether callers are directed to this host.
+func (s *Supervisor) serving() bool {
+	return slices.ContainsFunc(s.registrar.State().ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == s.Settings.Name })
+}
+
 // Limits returns the limits of callers: those that the operators configure, and defaults for the
 // others.
 func (s *Supervisor) Limits() wigeonspindle.CallLimits {
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -19,9 +19,17 @@
 	leaseTTL = 4 * time.Second
 	// renewInterval tolerates two failed renewals within leaseTTL.
 	renewInterval = 1300 * time.Millisecond
+	// servingLeaseTTL and servingRenewInterval are those of a host to which callers are directed. Callers
+	// that connect to a crashed host lose their request, so its entry expires sooner. The other hosts, which
+	// are more numerous, keep the longer ones to spare the registry.
+	servingLeaseTTL      = 2500 * time.Millisecond
+	servingRenewInterval = 800 * time.Millisecond
+	// renewTimeout bounds a renewal, so that a lost response leaves time for two more within
+	// servingLeaseTTL. A slow registry takes 250 ms.
+	renewTimeout = 500 * time.Millisecond
 	// renewRetryInterval is the time until the first retry of a failed call. It doubles with each
 	// failure, up to maxRenewRetryInterval.
-	renewRetryInterval    = 800 * time.Millisecond
+	renewRetryInterval    = 400 * time.Millisecond
 	maxRenewRetryInterval = 2 * time.Second
 	// outageRetryInterval is the time between two attempts while the registry is known to be down.
 	// Wake ends it as soon as the registry answers.
@@ -41,9 +49,12 @@
 	Ready func() bool
 	// Down reports whether the registry is known to be down.
 	Down func() bool
+	// Serving reports whether callers are directed to this host.
+	Serving func() bool
 
 	lease    uint64
-	failures int // failures counts consecutive failed calls.
+	short    bool // short reports that the lease has servingLeaseTTL.
+	failures int  // failures counts consecutive failed calls.
 	wakes    *queuer.Ring[struct{}]
 	worker
 }
@@ -105,18 +116,11 @@
 	if !a.Ready() {
 		return retryInterval / 4
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if a.lease == 0 {
-		lease, err := a.Registry.Register(ctx, a.Peer, leaseTTL)
-		if err != nil {
-			a.Logger.Warn("failed to register this host", "failures", a.failures, "error", err)
-			return a.retryDelay()
-		}
-		a.lease, a.failures = lease, 0
-		a.Logger.Info("registered this host", "lease_id", lease)
-		return renewInterval
+	if a.lease == 0 || a.Serving() && !a.short {
+		return a.register(ctx)
 	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
 	err := a.Registry.RenewLease(ctx, a.lease)
 	switch {
 	case errors.Is(err, wigeonspindle.ErrLeaseExpired):
@@ -127,5 +131,30 @@
 		return a.retryDelay()
 	}
 	a.failures = 0
+	return a.renewInterval()
+}
+
+// register enters the host under a new lease. An earlier lease no longer holds the entry and ends by itself.
+func (a *Announcer) register(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	short, ttl := a.Serving(), leaseTTL
+	if short {
+		ttl = servingLeaseTTL
+	}
+	lease, err := a.Registry.Register(ctx, a.Peer, ttl)
+	if err != nil {
+		a.Logger.Warn("failed to register this host", "failures", a.failures, "error", err)
+		return a.retryDelay()
+	}
+	a.lease, a.short, a.failures = lease, short, 0
+	a.Logger.Info("registered this host", "lease_id", lease, "lease_ttl", ttl, "serving", short)
+	return a.renewInterval()
+}
+
+func (a *Announcer) renewInterval() time.Duration {
+	if a.short {
+		return servingRenewInterval
+	}
 	return renewInterval
 }
--- a/internal/transport/watcher/announcer_test.go
+++ b/internal/transport/watcher/announcer_test.go
@@ -22,12 +22,14 @@
 	lapsed  atomic.Bool // lapsed reports that the granted leases have ended.
 	calls   atomic.Int32
 	entries atomic.Int32 // entries counts the registrations.
+	ttl     atomic.Int64 // ttl is that of the last lease.
 }
 
 var errDown = errors.New("the registry does not answer")
 
-func (l *leases) Register(context.Context, wigeonspindle.Peer, time.Duration) (uint64, error) {
+func (l *leases) Register(_ context.Context, _ wigeonspindle.Peer, ttl time.Duration) (uint64, error) {
 	l.calls.Add(1)
+	l.ttl.Store(int64(ttl))
 	if l.down.Load() {
 		return 0, errDown
 	}
@@ -56,7 +58,7 @@
 		registry := &leases{}
 		var known atomic.Bool
 		a := &watcher.Announcer{
-			Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }, Down: known.Load,
+			Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }, Down: known.Load, Serving: func() bool { return false },
 		}
 		a.Run()
 		defer a.Close()
@@ -85,7 +87,7 @@
 func TestAnnouncerTurnedAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		registry := &leases{}
-		a := &watcher.Announcer{Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }}
+		a := &watcher.Announcer{Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }, Serving: func() bool { return false }}
 		a.Run()
 		defer a.Close()
 		time.Sleep(5 * time.Second)
@@ -99,3 +101,31 @@
 		}
 	})
 }
+
+// TestAnnouncerServing guards against callers that are directed to a crashed host for as long as its lease lasts,
+// and against a lease that a few lost responses end.
+func TestAnnouncerServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := &leases{}
+		var serving atomic.Bool
+		a := &watcher.Announcer{
+			Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }, Serving: serving.Load,
+		}
+		a.Run()
+		defer a.Close()
+		time.Sleep(time.Second)
+		standby := time.Duration(registry.ttl.Load())
+		serving.Store(true)
+		time.Sleep(2 * time.Second)
+		short := time.Duration(registry.ttl.Load())
+		if got, want := registry.entries.Load(), int32(2); got != want || short >= standby {
+			t.Errorf("leases: got %d, the last one for %v after %v, want %d and a shorter one", got, short, standby, want)
+		}
+		before := registry.calls.Load()
+		registry.down.Store(true)
+		time.Sleep(short - 800*time.Millisecond)
+		if got, least := registry.calls.Load()-before, int32(2); got < least {
+			t.Errorf("renewals tried before the lease ends: got %d, want at least %d", got, least)
+		}
+	})
+}
