selector: a pause does not count as a long queue

TestQueueWait, pause: 47 ms expected where 0 to 20 ms are right.

Change: a sample counts for at most twice the average.

--- a/internal/coordination/selector/queue.go
+++ b/internal/coordination/selector/queue.go
@@ -6,6 +6,10 @@
 	"wigeonspindle.example/wigeonspindle"
 )
 
+// maxServiceRatio bounds a sample of the service time, as a multiple of the average, so that the pause of a replica
+// does not count as a slow replica with a long queue.
+const maxServiceRatio = 2
+
 // recordLoad records the load in a response. The requests that waited at the replica tell how much of the
 // latency was spent in its queue.
 func (st *replicaStats) recordLoad(response *wigeonspindle.Response, took time.Duration, now time.Time) {
@@ -18,6 +22,7 @@
 		st.serviceTime = sample
 		return
 	}
+	sample = min(sample, maxServiceRatio*st.serviceTime)
 	st.serviceTime += time.Duration(averageWeight * float64(sample-st.serviceTime))
 }
 
