follower: a host that reaches no relay asks the registry

Cause: each attempt at a relay that does not answer takes 1.2 s, and a relay is tried again after 4 s, so that a host that is cut off from the others went round the relays and never asked the registry, which it reached. TestCutOff with attempts that take time: state 13 s old after 16 s.

Change: after two relays in a row that cannot be reached the host asks the registry for 10 s.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -27,6 +27,11 @@
 	// directInterval is the interval at which a host asks the registry itself while all relays that
 	// it reaches have no state to pass on.
 	directInterval = 20 * time.Second
+	// maxUnreachable is the number of relays in a row that cannot be reached after which a host asks the
+	// registry itself: the host may be cut off from the others. It does so for cutOffPeriod, then it tries the
+	// relays again. An attempt that is not answered takes more than a second.
+	maxUnreachable = 2
+	cutOffPeriod   = 10 * time.Second
 	// detourFailures is the number of failed calls in a row after which a relay looks for another
 	// relay, because the registry may turn away this host only.
 	detourFailures = 2
@@ -58,6 +63,8 @@
 	backoffs         map[string]backoff
 	current          string    // current is the name of the followed relay.
 	registryFailures int       // registryFailures counts failed calls to the registry in a row.
+	unreachable      int       // unreachable counts the relays in a row that could not be reached.
+	cutOffUntil      time.Time // cutOffUntil is until when the registry is asked because the relays cannot be reached.
 	directAt         time.Time // directAt is when the registry may be asked directly, or asked again after a detour.
 }
 
@@ -71,7 +78,7 @@
 // host or a host that it followed.
 func (f *Follower) Choose(peers []wigeonspindle.Peer, seen, now time.Time) Source {
 	relays, isRelay := f.relays(peers, f.escalations(seen, now))
-	if isRelay && !f.detours(now) || len(relays) == 0 {
+	if isRelay && !f.detours(now) || len(relays) == 0 || f.unreachable >= maxUnreachable && now.Before(f.cutOffUntil) {
 		return Source{}
 	}
 	var first *wigeonspindle.Peer
@@ -138,6 +145,7 @@
 		f.current, f.registryFailures = "", 0
 		return
 	}
+	f.unreachable = 0
 	delete(f.backoffs, source.Relay.Name)
 	switch {
 	case f.registryFailures < detourFailures:
@@ -154,11 +162,15 @@
 	if source.Relay == nil {
 		f.registryFailures++
 		f.directAt = now.Add(directInterval)
+		f.unreachable = 0 // The relays are tried again.
 		return
 	}
 	held := backoff{until: now.Add(unreachableBackoff)}
 	if errors.Is(err, wigeonspindle.ErrStale) || errors.Is(err, wigeonspindle.ErrUnsettled) {
 		held = backoff{until: now.Add(staleBackoff), stale: true}
+		f.unreachable = 0
+	} else if f.unreachable++; f.unreachable >= maxUnreachable {
+		f.cutOffUntil = now.Add(cutOffPeriod)
 	}
 	if f.backoffs == nil {
 		f.backoffs = make(map[string]backoff)
