balancer, dispatcher: a host whose entry is not listed serves only if it would be selected

Cause: a host that was not listed took itself for serving and opened a connection to each replica.

Change: such a host computes whether callers would be directed to it.

--- a/internal/coordination/balancer/serving.go
+++ b/internal/coordination/balancer/serving.go
@@ -37,3 +37,17 @@
 	}
 	return ordered
 }
+
+// Serves reports whether a host serves calls: whether callers are directed to it, or would be if its entry were
+// listed. The entry of a host that starts, stops or has been cut off for a time is not, but callers may still know
+// its address.
+func Serves(deployment *wigeonspindle.DeploymentState, self wigeonspindle.Peer) bool {
+	isSelf := func(peer wigeonspindle.Peer) bool { return peer.Name == self.Name }
+	if slices.ContainsFunc(deployment.ServingPeers, isSelf) {
+		return true
+	}
+	if slices.ContainsFunc(deployment.Peers, isSelf) {
+		return false
+	}
+	return slices.ContainsFunc(ServingHosts(append(slices.Clone(deployment.Peers), self)), isSelf)
+}
--- a/internal/coordination/balancer/serving_test.go
+++ b/internal/coordination/balancer/serving_test.go
@@ -40,3 +40,29 @@
 		})
 	}
 }
+
+// TestServes guards against hundreds of weak hosts that open connections to all replicas because their entries
+// are not listed for a moment, and against a strong one that does not serve the callers that know it.
+func TestServes(t *testing.T) {
+	strong, weak := newPeers(18, 0.8), newPeers(177, 0.192)
+	all := append(append([]wigeonspindle.Peer{}, strong...), weak...)
+	for _, test := range []struct {
+		name  string
+		peers []wigeonspindle.Peer
+		self  wigeonspindle.Peer
+		want  bool
+	}{
+		{"listed strong host", all, strong[0], true},
+		{"listed weak host", all, weak[0], false},
+		{"strong host that is not listed", all[1:], strong[0], true},
+		{"weak host that is not listed", all[:len(all)-1], weak[len(weak)-1], false},
+		{"host that knows no other", nil, weak[0], true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			deployment := &wigeonspindle.DeploymentState{Peers: test.peers, ServingPeers: balancer.ServingHosts(test.peers)}
+			if got := balancer.Serves(deployment, test.self); got != test.want {
+				t.Errorf("serves: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/matcher"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
@@ -64,7 +64,7 @@
 
 // Dispatcher routes calls to replicas. It implements wigeonspindle.Gateway.
 type Dispatcher struct {
-	Host     string // Host is the name of this host.
+	Self     wigeonspindle.Peer // Self is the entry of this host.
 	Gatherer *gatherer.Gatherer
 	Dialect  wigeonspindle.Dialect
 	Clock    wigeonspindle.Clock
@@ -208,9 +208,7 @@
 		d.matcher = matcher.New(deployment.Catalog)
 	}
 	d.deployment = deployment
-	isSelf := func(peer wigeonspindle.Peer) bool { return peer.Name == d.Host }
-	// A host that is stopping, or whose entry has expired, is not listed but still has callers.
-	d.serving = slices.ContainsFunc(deployment.ServingPeers, isSelf) || !slices.ContainsFunc(deployment.Peers, isSelf)
+	d.serving = balancer.Serves(deployment, d.Self)
 	replicaIDs := deployment.ReplicaIDs()
 	now := d.Clock.Now()
 	d.Gatherer.UpdateDeployment(deployment, replicaIDs, now)
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -85,7 +85,7 @@
 func newDispatcher(clock wigeonspindle.Clock, reports chan<- wigeonspindle.Suspicion) *dispatcher.Dispatcher {
 	random := rand.New(rand.NewPCG(1, 2))
 	return &dispatcher.Dispatcher{
-		Host: "h", Clock: clock, Dialect: dialect{}, Meter: meter{}, Logger: log.New(io.Discard),
+		Self: wigeonspindle.Peer{Name: "h"}, Clock: clock, Dialect: dialect{}, Meter: meter{}, Logger: log.New(io.Discard),
 		ReportSuspicion: func(suspicion wigeonspindle.Suspicion) {
 			select {
 			case reports <- suspicion:
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -55,7 +55,7 @@
 // removeExpiredSuspicions removes expired suspicions from the registry. Of all hosts, the first one in
 // the deployment does so.
 func (d *Dispatcher) removeExpiredSuspicions(deployment *wigeonspindle.DeploymentState, now time.Time) {
-	if len(deployment.ServingPeers) == 0 || deployment.ServingPeers[0].Name != d.Host {
+	if len(deployment.ServingPeers) == 0 || deployment.ServingPeers[0].Name != d.Self.Name {
 		return
 	}
 	for _, suspicion := range deployment.Suspicions {
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -103,6 +103,9 @@
 // Run starts the components of the host.
 func (s *Supervisor) Run() error {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	self := wigeonspindle.Peer{
+		Name: s.Settings.Name, CallerAddress: s.Settings.CallerAddress, LinkAddress: s.Settings.LinkAddress, Domain: s.Settings.Domain, Capacity: s.Settings.CPUCapacity(),
+	}
 	meter := administrator.NewCallMeter()
 	s.registrar = &registrar.Registrar{RecoveryGrace: recoveryGrace, SelectServing: balancer.ServingHosts}
 	s.reporter = &watcher.Reporter{Registry: s.Registry, Clock: s.Clock, Logger: s.Logger}
@@ -116,12 +119,9 @@
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.RetryBudgetRatio, Slack: s.Settings.RetryBudgetSlack, Window: s.Settings.RetryBudgetWindow.Value()},
 			NewEstimator: func() wigeonspindle.LatencyEstimator { return &hedger.Estimator{} },
 		},
-		Host: s.Settings.Name, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
+		Self: self, Dialect: s.Dialect, Clock: s.Clock, Meter: meter, Logger: s.Logger,
 		ReportSuspicion: s.reporter.Offer, BodyMemory: int64(bodyMemoryShare * float64(s.Settings.MemoryLimitMB<<20)),
 	}
-	self := wigeonspindle.Peer{
-		Name: s.Settings.Name, CallerAddress: s.Settings.CallerAddress, LinkAddress: s.Settings.LinkAddress, Domain: s.Settings.Domain, Capacity: s.Settings.CPUCapacity(),
-	}
 	s.watcher = &watcher.Watcher{
 		Registry: s.Registry, Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger,
 		Follower: &follower.Follower{Self: self, SelectRelays: balancer.RegistryRelays}, OnChange: s.dispatcher.UpdateDeployment,
