dispatcher: log replicas that accept no connection, and the sends that may be to blame

The log did not tell why a call that crashes replicas went on: whether its sends were not recorded as evidence, whether the host did not look at the replica after them, or whether a sign of life had cleared the evidence. The line 'replica accepts no connection' now says how many recorded sends the replica may have ended on, and each failed send that the replica may have run names its fingerprint.

Measured on the unchanged logic: an order whose caller leaves and a 200 without a signature show failed sends but failed_sends=0 for each replica that ended (none recorded); after a closed connection the first two ends were found by the next send only, with no suspicion (cleared by a sign of life). The replicas of given-up sends are dialled by the once-a-second preconnect only.

--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -90,6 +90,17 @@
 	c.brokenRequests[target] = kept
 }
 
+// FailedSends returns the number of sends to a target that may be to blame if it has crashed now.
+func (c *CrashCorrelator) FailedSends(target string, now time.Time) int {
+	count := 0
+	for _, request := range c.brokenRequests[target] {
+		if now.Sub(request.brokenAt) <= crashWindow {
+			count++
+		}
+	}
+	return count
+}
+
 // RecordUnreachable records that a target accepts no connections. It returns the suspicions
 // against the requests that the target ran last.
 func (c *CrashCorrelator) RecordUnreachable(target string, now time.Time) []wigeonspindle.Suspicion {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -87,7 +88,8 @@
 	matcher     *matcher.Matcher
 	// invalidFieldLoggedAt is when each field with an invalid value was last logged.
 	invalidFieldLoggedAt map[string]time.Time
-	serving              bool // serving reports whether callers are directed to this host.
+	unreachable          map[string]bool // unreachable holds the replicas that have been logged as accepting no connection.
+	serving              bool            // serving reports whether callers are directed to this host.
 	stop                 chan struct{}
 	done                 sync.WaitGroup
 }
@@ -117,6 +119,7 @@
 	d.stopQueue = queuer.New[time.Time](1)
 	d.running = make(map[*pendingCall]bool)
 	d.invalidFieldLoggedAt = make(map[string]time.Time)
+	d.unreachable = make(map[string]bool)
 	d.events = queuer.New[exchanger.Event](eventQueueSize)
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
@@ -215,6 +218,7 @@
 	d.removeExpiredSuspicions(deployment, now)
 	d.pool.CloseAfterUse, d.Gatherer.Standby = !d.serving, !d.serving
 	d.pool.RetainReplicas(replicaIDs)
+	maps.DeleteFunc(d.unreachable, func(id string, _ bool) bool { return !replicaIDs[id] })
 	if d.serving && deployment.Catalog != nil {
 		d.preconnect(deployment)
 	}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -22,7 +22,7 @@
 	if exchange.Response != nil {
 		fields = append(fields, "status", exchange.Response.Status)
 	}
-	if exchange.Code == wigeonspindle.CodeBroken {
+	if exchange.Sent && exchange.Verdict != wigeonspindle.NotRun {
 		fields = append(fields, "fingerprint", fingerprintNames(p))
 	}
 	if err != nil {
@@ -31,6 +31,18 @@
 	d.Logger.Info("send to replica failed", fields...)
 }
 
+// logUnreachable logs a replica that accepts no connection, and how many sends may be to blame if it has crashed. Later
+// dials that fail are logged only if there are such sends.
+func (d *Dispatcher) logUnreachable(replica *wigeonspindle.Replica, dialled, now time.Time, err error) {
+	failedSends := d.Gatherer.Correlator.FailedSends(replica.ID, now)
+	if d.unreachable[replica.ID] && failedSends == 0 {
+		return
+	}
+	d.unreachable[replica.ID] = true
+	d.Logger.Info("replica accepts no connection", "replica", replica.ID, "pool", replica.Pool, "took", now.Sub(dialled),
+		"failed_sends", failedSends, "error", err.Error())
+}
+
 // logReply logs the reply to a call and records its metrics.
 func (d *Dispatcher) logReply(p *pendingCall, reply wigeonspindle.CallReply, now time.Time) {
 	took := now.Sub(p.call.Arrived)
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -8,10 +8,15 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
-// handleDial records whether a replica accepted a connection that was dialled at a given time.
-func (d *Dispatcher) handleDial(replica *wigeonspindle.Replica, accepted bool, dialled time.Time) {
+// handleDial records whether a replica accepted a connection that was dialled at a given time; err is nil if it did.
+func (d *Dispatcher) handleDial(replica *wigeonspindle.Replica, err error, dialled time.Time) {
 	now := d.Clock.Now()
-	d.reportSuspicions(d.Gatherer.RecordReachability(replica, accepted, dialled, now), now)
+	if err != nil {
+		d.logUnreachable(replica, dialled, now, err)
+	} else {
+		delete(d.unreachable, replica.ID)
+	}
+	d.reportSuspicions(d.Gatherer.RecordReachability(replica, err == nil, dialled, now), now)
 }
 
 // reportSuspicions logs suspicions about calls that crash replicas and reports them to the other
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -122,7 +122,7 @@
 	h.pool = &exchanger.Pool{
 		Dialect: dialect{}, Clock: timekeeper.SystemClock{}, Events: h.events, Stop: stop,
 		OnResult: func(job *exchanger.Job, exchange wigeonspindle.Exchange, _ error) { h.results[job.Call.ID] = exchange },
-		OnDial:   func(_ *wigeonspindle.Replica, accepted bool, _ time.Time) { h.dialled = append(h.dialled, accepted) },
+		OnDial:   func(_ *wigeonspindle.Replica, err error, _ time.Time) { h.dialled = append(h.dialled, err == nil) },
 	}
 	t.Cleanup(func() {
 		close(stop)
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -22,9 +22,9 @@
 	// BodyMemory bounds the memory, in bytes, of the large bodies that all connections are reading; 0
 	// means no limit.
 	BodyMemory int64
-	// OnDial is called with the start of a dial when the replica has accepted the connection, and when
+	// OnDial is called with the start of a dial when the replica has accepted the connection, and with the error when
 	// the dial has failed unless the failure is the result of a job that waited for the connection.
-	OnDial func(replica *wigeonspindle.Replica, accepted bool, dialled time.Time)
+	OnDial func(replica *wigeonspindle.Replica, err error, dialled time.Time)
 
 	dialTime time.Duration // dialTime is the moving average of the time in which replicas accept a connection.
 	memory   *bodyMemory
@@ -178,7 +178,7 @@
 	case event.Opened:
 		delete(r.opening, connection)
 		p.recordDial(p.Clock.Now().Sub(connection.dialled))
-		p.OnDial(connection.Replica, true, connection.dialled)
+		p.OnDial(connection.Replica, nil, connection.dialled)
 		p.assignNext(r, connection)
 	case event.Job != nil:
 		p.handleResult(r, event)
@@ -230,7 +230,7 @@
 	}
 	delete(r.opening, connection)
 	if len(r.waiting) <= len(r.opening) {
-		p.OnDial(connection.Replica, false, connection.dialled)
+		p.OnDial(connection.Replica, event.Err, connection.dialled)
 	}
 	for len(r.waiting) > len(r.opening) {
 		job := r.waiting[0]
