call, exchanger: a replica that ends after an answer that is no success ends on that call

Callers saw a request under which replicas ended being sent on: only a signed 5xx counted as an answer after which a replica may crash. A 200 without a signature, or a signed 404, left no evidence and the host did not look at the replica when its last connection ended. Any answer that is no success and does not deny the run counts now, for the evidence and for the look at the replica.

A 503 with X-Not-Executed is no evidence: the replica says that it has not run the call.

--- a/call.go
+++ b/call.go
@@ -58,8 +58,9 @@
 	return r.Status >= 200 && r.Status < 300 && r.Signature != "" && !r.Refused
 }
 
-// Failed reports whether the replica ran the call and failed.
-func (r *Response) Failed() bool { return r.Status >= 500 && r.Signature != "" && !r.Refused }
+// Failed reports whether the replica may have run the call without success. Any answer that is no success and
+// does not deny the run counts, also an unsigned one.
+func (r *Response) Failed() bool { return !r.Success() && !r.Refused }
 
 // TargetLoad is the load that a replica reports. Its fields are unset unless Known.
 type TargetLoad struct {
--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -90,7 +90,7 @@
 	case exchange.Response != nil:
 		correlator.RecordReachable(replica, sent.SentAt)
 		if exchange.Response.Failed() {
-			// The replica may crash right after the failure that it answers.
+			// The replica may crash right after the answer.
 			correlator.RecordBrokenConnection(fingerprints, pool, replica, c.isolated(sent), now)
 		}
 	case exchange.Code == wigeonspindle.CodeBroken:
