quarantiner, exchanger: a replica that still accepts connections may end on a call a moment later

Callers saw a request under which replicas ended being sent on when the replicas closed the connection, or answered on one that they closed, and ended 0.25 s later. The host dialled the replica once, took the accepted connection as proof that it had not crashed, forgot the send, and did not look again.

Failed sends are now kept for the crash window whatever the signs of life. The exchanger watches the replica for that time: it keeps one connection open, also at a host that keeps none otherwise, and dials when the last one ends, with pauses that double. A refused dial says that the process has ended, and counts against all kept sends; a dial without an answer counts, as before, only against sends without a sign of life since, because a network that is cut looks the same.

--- a/call.go
+++ b/call.go
@@ -83,7 +83,9 @@
 	Code     Code      // Code is empty when the replica answered or refused.
 	Response *Response // Response is nil when no complete response arrived.
 	Sent     bool      // Sent reports that bytes of the request may have reached the replica.
-	Took     time.Duration
+	// Reachability is what the dial of the connection has shown if Code is CodeUnreachable.
+	Reachability Reachability
+	Took         time.Duration
 }
 
 // CallReply is the final answer to a call.
--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -18,6 +18,9 @@
 	HardDeadline time.Time
 	// Suspicions are those that follow from the last result.
 	Suspicions []wigeonspindle.Suspicion
+	// WatchUntil is until when the replica of the last result may end because of it; zero when it is not to blame
+	// then.
+	WatchUntil time.Time
 	// Noticed reports that the replica of the last result has said something new about itself.
 	Noticed bool
 
@@ -83,6 +86,7 @@
 // and returns the suspicions that follow.
 func (c *CallState) updateSuspicions(sent Send, exchange wigeonspindle.Exchange, now time.Time) []wigeonspindle.Suspicion {
 	correlator, fingerprints, pool, replica := c.gatherer.Correlator, c.fingerprints, sent.Replica.Pool, sent.Replica.ID
+	c.WatchUntil = time.Time{}
 	switch {
 	case exchange.Response != nil && exchange.Response.Success():
 		correlator.RecordReachable(replica, sent.SentAt)
@@ -91,17 +95,17 @@
 		correlator.RecordReachable(replica, sent.SentAt)
 		if exchange.Response.Failed() {
 			// The replica may crash right after the answer.
-			correlator.RecordBrokenConnection(fingerprints, pool, replica, c.isolated(sent), now)
+			c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolated(sent), now)
 		}
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		correlator.RecordBrokenConnection(fingerprints, pool, replica, c.isolated(sent), now)
+		c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolated(sent), now)
 		if c.holding() {
 			c.resumeAt = now.Add(c.crashCheckDelay(now))
 			c.nextTick = earlier(c.nextTick, c.resumeAt)
 		}
 	case exchange.Code == wigeonspindle.CodeUnreachable:
-		return correlator.RecordUnreachable(replica, now)
+		return c.gatherer.recordLoss(sent.Replica, exchange.Reachability, now)
 	}
 	return nil
 }
--- a/internal/coordination/gatherer/crash_test.go
+++ b/internal/coordination/gatherer/crash_test.go
@@ -36,7 +36,7 @@
 			next := state.HandleResult(send, exchange, at(now))
 			if crashes(send.Replica) {
 				crashed++
-				h.RecordReachability(send.Replica, false, at(now), at(now))
+				h.RecordReachability(send.Replica, wigeonspindle.Unreachable, at(now), at(now))
 			}
 			step.Sends, step.NextTick = append(step.Sends, next.Sends...), next.NextTick
 			if next.Reply != nil {
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -227,14 +227,22 @@
 	return call.ConnectTime
 }
 
-// RecordReachability records whether a replica accepted a connection that was dialled at a given
-// time. It returns the suspicions that follow against calls that were running on the replica.
-func (g *Gatherer) RecordReachability(replica *wigeonspindle.Replica, accepted bool, dialled, now time.Time) []wigeonspindle.Suspicion {
-	if accepted {
+// RecordReachability records what a dial of a replica that started at a given time has shown. It returns the
+// suspicions that follow against calls that were running on the replica.
+func (g *Gatherer) RecordReachability(replica *wigeonspindle.Replica, reachability wigeonspindle.Reachability, dialled, now time.Time) []wigeonspindle.Suspicion {
+	if reachability == wigeonspindle.Reachable {
 		g.Correlator.RecordReachable(replica.ID, dialled)
 		return nil
 	}
 	g.Selector.RecordUnreachable(replica, now)
+	return g.recordLoss(replica, reachability, now)
+}
+
+// recordLoss returns the suspicions that follow from the loss of a replica.
+func (g *Gatherer) recordLoss(replica *wigeonspindle.Replica, reachability wigeonspindle.Reachability, now time.Time) []wigeonspindle.Suspicion {
+	if reachability == wigeonspindle.Ended {
+		return g.Correlator.RecordEnded(replica.ID, now)
+	}
 	return g.Correlator.RecordUnreachable(replica.ID, now)
 }
 
@@ -276,6 +284,6 @@
 	g.Budget.Prune(used)
 	g.Throttler.Prune(used)
 	g.Selector.Retain(known, now)
-	g.Correlator.RetainTargets(known)
+	g.Correlator.RetainTargets(known, now)
 	g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
 }
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// crashWindow is how long after a broken connection an unreachable target counts as crashed:
-	// about the time in which a host finds that the target no longer listens.
+	// crashWindow is how long after the end of a send its target may still crash because of it. A target that
+	// breaks a connection as it crashes refuses connections within a few milliseconds; one that answers first, or
+	// works on after the host has given the send up, ends later.
 	crashWindow = 2 * time.Second
-	// maxBrokenRequests bounds the broken requests that are kept for each target, which runs only
+	// maxAbandonedRun bounds the time for which a target is taken to work on a send that the host has given up.
+	maxAbandonedRun = 10 * time.Second
+	// maxFailedSends bounds the failed sends that are kept for each target, which runs only
 	// a few requests at a time.
-	maxBrokenRequests = 64
+	maxFailedSends = 64
 )
 
 // Fingerprints returns hashes of the parts of a call that stay the same when it is repeated: its
@@ -42,84 +45,144 @@
 	return digest.Sum64()
 }
 
-// CrashCorrelator attributes the crash of a target to the requests whose connection broke shortly
-// before the target became unreachable. A target that still answers has not crashed, and a
-// request that another target of the pool answers does not crash the targets of that pool.
+// CrashCorrelator attributes the end of a target to the sends that failed there shortly before, whatever the way in
+// which they failed. A request that another target of the pool answers does not crash the targets of that pool.
 type CrashCorrelator struct {
 	Quarantiner *Quarantiner
 	// SuspicionTTL is how long a suspicion lasts without a further crash.
 	SuspicionTTL time.Duration
 
-	brokenRequests map[string][]brokenRequest // brokenRequests holds the requests of each target, the oldest first.
+	failedSends map[string][]failedSend // failedSends holds those of each target, the oldest first.
+	callCounts  map[uint64]int          // callCounts counts the failed sends of each call by its first fingerprint.
 }
 
-// brokenRequest is a request whose connection broke before the response.
-type brokenRequest struct {
+// failedSend is a send that ended without success although the target may have run it.
+type failedSend struct {
 	fingerprints []uint64 // fingerprints are those of the call; the first identifies it.
 	pool         string
 	isolated     bool
-	brokenAt     time.Time
+	// abandoned reports that the host gave the send up, so that the target may still run it.
+	abandoned bool
+	// reachedSince reports that the target has accepted a connection or answered since the end of the send. It has
+	// not crashed by then, but may do so later.
+	reachedSince bool
+	endedAt      time.Time
+	until        time.Time // until is when an end of the target is no longer attributed to the send.
 }
 
-// RecordBrokenConnection records that the connection to a target broke while it ran a request.
-// Isolated means that the request has only one part or that this part was sent again, so that
-// its loss is not explained by the simultaneous loss of several targets.
-func (c *CrashCorrelator) RecordBrokenConnection(fingerprints []uint64, pool, target string, isolated bool, now time.Time) {
-	if c.brokenRequests == nil {
-		c.brokenRequests = make(map[string][]brokenRequest)
+// RecordFailedSend records that a send ended without success although the target may have run it: with an answer
+// that is no success, or with a connection that broke. Isolated means that the request has only one part or that
+// this part was sent again, so that its loss is not explained by the simultaneous loss of several targets. It returns
+// until when the end of the target would be attributed to the send.
+func (c *CrashCorrelator) RecordFailedSend(fingerprints []uint64, pool, target string, isolated bool, now time.Time) time.Time {
+	return c.record(target, failedSend{fingerprints: fingerprints, pool: pool, isolated: isolated, endedAt: now, until: now.Add(crashWindow)})
+}
+
+// RecordAbandonedSend records that the host gave up a send that the target may run until its deadline. The other
+// parameters and the result are those of RecordFailedSend.
+func (c *CrashCorrelator) RecordAbandonedSend(fingerprints []uint64, pool, target string, isolated bool, deadline, now time.Time) time.Time {
+	run := min(max(deadline.Sub(now), 0), maxAbandonedRun)
+	return c.record(target, failedSend{
+		fingerprints: fingerprints, pool: pool, isolated: isolated, abandoned: true, endedAt: now, until: now.Add(run + crashWindow),
+	})
+}
+
+func (c *CrashCorrelator) record(target string, send failedSend) time.Time {
+	if c.failedSends == nil {
+		c.failedSends, c.callCounts = make(map[string][]failedSend), make(map[uint64]int)
+	}
+	c.retain(target, func(known failedSend) bool { return send.endedAt.Before(known.until) })
+	if oldest := c.failedSends[target]; len(oldest) >= maxFailedSends {
+		c.forget(oldest[0])
+		c.failedSends[target] = oldest[1:]
+	}
+	c.failedSends[target] = append(c.failedSends[target], send)
+	c.callCounts[send.fingerprints[0]]++
+	return send.until
+}
+
+// retain forgets the failed sends to a target for which keep returns false.
+func (c *CrashCorrelator) retain(target string, keep func(send failedSend) bool) {
+	sends := c.failedSends[target]
+	if len(sends) == 0 {
+		return
+	}
+	kept := make([]failedSend, 0, len(sends))
+	for _, send := range sends {
+		if keep(send) {
+			kept = append(kept, send)
+		} else {
+			c.forget(send)
+		}
 	}
-	requests := c.brokenRequests[target]
-	for len(requests) > 0 && (len(requests) >= maxBrokenRequests || now.Sub(requests[0].brokenAt) > crashWindow) {
-		requests = requests[1:]
+	if c.failedSends[target] = kept; len(kept) == 0 {
+		delete(c.failedSends, target)
+	}
+}
+
+// forget takes a failed send out of callCounts.
+func (c *CrashCorrelator) forget(send failedSend) {
+	call := send.fingerprints[0]
+	if c.callCounts[call]--; c.callCounts[call] == 0 {
+		delete(c.callCounts, call)
 	}
-	c.brokenRequests[target] = append(requests, brokenRequest{fingerprints: fingerprints, pool: pool, isolated: isolated, brokenAt: now})
 }
 
 // RecordReachable records that a target accepted a connection or answered a request that was started
-// at the given time. It clears the requests that broke before that time; what was under way when the
-// target crashed may still be reported after the crash.
+// at the given time; what was under way when the target crashed may still be reported after the crash. The target has
+// not crashed because of the sends that had failed before that time, unless it ends while they are kept.
 func (c *CrashCorrelator) RecordReachable(target string, started time.Time) {
-	kept := c.brokenRequests[target]
-	for len(kept) > 0 && !kept[0].brokenAt.After(started) {
-		kept = kept[1:]
-	}
-	if len(kept) == 0 {
-		delete(c.brokenRequests, target)
-		return
+	for i := range c.failedSends[target] {
+		if send := &c.failedSends[target][i]; !send.endedAt.After(started) {
+			send.reachedSince = true
+		}
 	}
-	c.brokenRequests[target] = kept
 }
 
 // FailedSends returns the number of sends to a target that may be to blame if it has crashed now.
 func (c *CrashCorrelator) FailedSends(target string, now time.Time) int {
 	count := 0
-	for _, request := range c.brokenRequests[target] {
-		if now.Sub(request.brokenAt) <= crashWindow {
+	for _, send := range c.failedSends[target] {
+		if now.Before(send.until) {
 			count++
 		}
 	}
 	return count
 }
 
-// RecordUnreachable records that a target accepts no connections. It returns the suspicions
-// against the requests that the target ran last.
+// RecordUnreachable records that a target accepts no connections, because it has crashed or the network has failed.
+// It returns the suspicions against the requests that it ran last. Sends that the host gave up are no evidence
+// then: in a network that is cut, none is answered.
 func (c *CrashCorrelator) RecordUnreachable(target string, now time.Time) []wigeonspindle.Suspicion {
-	requests := c.brokenRequests[target]
-	delete(c.brokenRequests, target)
+	return c.blame(target, now, func(send failedSend) bool { return !send.reachedSince && !send.abandoned })
+}
+
+// RecordEnded records that the process of a target has ended. It returns the suspicions against the requests that it
+// ran last.
+func (c *CrashCorrelator) RecordEnded(target string, now time.Time) []wigeonspindle.Suspicion {
+	return c.blame(target, now, func(failedSend) bool { return true })
+}
+
+// blame returns the suspicions against those failed sends to a target that count as evidence, and forgets these.
+func (c *CrashCorrelator) blame(target string, now time.Time, counts func(send failedSend) bool) []wigeonspindle.Suspicion {
 	calls := make(map[uint64]bool)
-	suspects := make(map[uint64]brokenRequest)
-	for _, request := range requests {
-		if now.Sub(request.brokenAt) > crashWindow {
-			continue
+	suspects := make(map[uint64]failedSend)
+	c.retain(target, func(send failedSend) bool {
+		if !now.Before(send.until) {
+			return false
 		}
-		calls[request.fingerprints[0]] = true
-		for _, fingerprint := range request.fingerprints {
-			suspects[fingerprint] = request
+		if !counts(send) {
+			return true
 		}
-	}
+		calls[send.fingerprints[0]] = true
+		for _, fingerprint := range send.fingerprints {
+			suspects[fingerprint] = send
+		}
+		return false
+	})
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
-	for fingerprint, request := range suspects {
-		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, request.pool, target, len(calls), request.isolated, c.SuspicionTTL, now); added {
+	for fingerprint, send := range suspects {
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, send.pool, target, len(calls), send.isolated, c.SuspicionTTL, now); added {
 			suspicions = append(suspicions, suspicion)
 		}
 	}
@@ -129,15 +192,12 @@
 // RecordAnswer records that a target of a pool answered a request. It returns the withdrawn
 // suspicions to send to the other hosts.
 func (c *CrashCorrelator) RecordAnswer(fingerprints []uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
-	for other, requests := range c.brokenRequests {
-		kept := requests[:0]
-		for _, request := range requests {
-			if request.pool != pool || !slices.Contains(fingerprints, request.fingerprints[0]) {
-				kept = append(kept, request)
-			}
-		}
-		if c.brokenRequests[other] = kept; len(kept) == 0 {
-			delete(c.brokenRequests, other)
+	answered := func(send failedSend) bool {
+		return send.pool == pool && slices.Contains(fingerprints, send.fingerprints[0])
+	}
+	if slices.ContainsFunc(fingerprints, func(fingerprint uint64) bool { return c.callCounts[fingerprint] > 0 }) {
+		for other := range c.failedSends {
+			c.retain(other, func(send failedSend) bool { return !answered(send) })
 		}
 	}
 	var withdrawn []wigeonspindle.Suspicion
@@ -162,11 +222,9 @@
 	return until
 }
 
-// RetainTargets deletes the broken requests of all targets except the given ones.
-func (c *CrashCorrelator) RetainTargets(targets map[string]bool) {
-	for target := range c.brokenRequests {
-		if !targets[target] {
-			delete(c.brokenRequests, target)
-		}
+// RetainTargets forgets the failed sends of all targets except the given ones, and those that are too old.
+func (c *CrashCorrelator) RetainTargets(targets map[string]bool, now time.Time) {
+	for target := range c.failedSends {
+		c.retain(target, func(send failedSend) bool { return targets[target] && now.Before(send.until) })
 	}
 }
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -125,6 +125,7 @@
 	d.deployment = &wigeonspindle.DeploymentState{}
 	d.pool = &exchanger.Pool{
 		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial, BodyMemory: d.BodyMemory,
+		Schedule: func(at time.Time, run func()) { d.timers.AddOnce(at, func(time.Time) { run() }) },
 	}
 	d.done.Add(1)
 	go func() {
--- a/internal/transport/dispatcher/sends.go
+++ b/internal/transport/dispatcher/sends.go
@@ -91,6 +91,7 @@
 		d.logNotice(key.send.Replica, exchange.Response, now)
 	}
 	d.reportSuspicions(p.state.Suspicions, now)
+	d.pool.Watch(key.send.Replica, p.state.WatchUntil)
 	switch {
 	case !decided:
 		d.execute(p, step, now)
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -6,6 +6,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
+	"wigeonspindle.example/wigeonspindle/internal/transport/exchanger"
 )
 
 // handleDial records whether a replica accepted a connection that was dialled at a given time; err is nil if it did.
@@ -16,7 +17,7 @@
 	} else {
 		delete(d.unreachable, replica.ID)
 	}
-	d.reportSuspicions(d.Gatherer.RecordReachability(replica, err == nil, dialled, now), now)
+	d.reportSuspicions(d.Gatherer.RecordReachability(replica, exchanger.ReachabilityOf(err), dialled, now), now)
 }
 
 // reportSuspicions logs suspicions about calls that crash replicas and reports them to the other
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -54,6 +54,11 @@
 // crash closes the listener and then all connections.
 func (s *target) crash() {
 	_ = s.listener.Close() // The target accepts no more connections even if this fails.
+	s.closeConnections()
+}
+
+// closeConnections closes the open connections.
+func (s *target) closeConnections() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, conn := range s.conns {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -25,6 +25,8 @@
 	// OnDial is called with the start of a dial when the replica has accepted the connection, and with the error when
 	// the dial has failed unless the failure is the result of a job that waited for the connection.
 	OnDial func(replica *wigeonspindle.Replica, err error, dialled time.Time)
+	// Schedule calls run at a time, on the goroutine of the pool. Watch needs it.
+	Schedule func(at time.Time, run func())
 
 	dialTime time.Duration // dialTime is the moving average of the time in which replicas accept a connection.
 	memory   *bodyMemory
@@ -42,6 +44,7 @@
 	// broke reports that a connection broke or a request failed while connections were open. When these end
 	// too, the replica may have crashed.
 	broke bool
+	watch watch
 }
 
 func (r *replicaConnections) size() int { return len(r.idle) + len(r.active) + len(r.opening) }
@@ -117,7 +120,7 @@
 func (p *Pool) RetainReplicas(ids map[string]bool) {
 	for id, r := range p.replicas {
 		r.removed = !ids[id]
-		if !r.removed && !p.CloseAfterUse {
+		if !r.removed && (!p.CloseAfterUse || p.watched(r)) {
 			continue
 		}
 		for _, connection := range r.idle {
@@ -202,18 +205,11 @@
 	p.checkReachable(r, connection.Replica) // A dial tells something only if it starts after the result is recorded.
 }
 
-// checkReachable dials a replica to which a connection broke, once no connection to it is left.
-func (p *Pool) checkReachable(r *replicaConnections, replica *wigeonspindle.Replica) {
-	if r.broke && r.size() == 0 && !r.removed {
-		p.dial(r, replica)
-	}
-}
-
 // handleClosed processes the end of a connection, or its failure to open. Waiting jobs for which
 // no opening connection is left fail.
 func (p *Pool) handleClosed(r *replicaConnections, event Event) {
 	connection := event.Connection
-	notSent := wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable}
+	notSent := wigeonspindle.Exchange{Verdict: wigeonspindle.NotRun, Code: wigeonspindle.CodeUnreachable, Reachability: wigeonspindle.Unreachable}
 	if job, ok := r.active[connection]; ok {
 		delete(r.active, connection)
 		p.OnResult(job, notSent, event.Err)
@@ -229,6 +225,9 @@
 		return
 	}
 	delete(r.opening, connection)
+	if notSent.Reachability = ReachabilityOf(event.Err); notSent.Reachability == wigeonspindle.Ended {
+		r.watch = watch{}
+	}
 	if len(r.waiting) <= len(r.opening) {
 		p.OnDial(connection.Replica, event.Err, connection.dialled)
 	}
@@ -248,7 +247,7 @@
 		connection.Submit(job)
 		return
 	}
-	if r.removed || p.CloseAfterUse {
+	if r.removed || p.CloseAfterUse && !p.watched(r) {
 		p.abortIdle(connection)
 		return
 	}
--- a/replica.go
+++ b/replica.go
@@ -16,6 +16,16 @@
 	Sequence    uint64 // Sequence orders the entries of one run.
 }
 
+// Reachability is what an attempt to connect to a replica has shown.
+type Reachability uint8
+
+// Outcomes of an attempt to connect.
+const (
+	Reachable   Reachability = iota // Reachable replicas accept connections.
+	Unreachable                     // Unreachable replicas do not answer; the replica or the network may have failed.
+	Ended                           // Ended replicas have no process any more: their address refuses connections.
+)
+
 // AcceptsWork reports whether the replica may receive new work while some failure domains are out.
 func (r *Replica) AcceptsWork(out map[string]bool) bool { return !r.Draining && !out[r.Domain] }
 
