gatherer: a send that the host gave up is evidence until its replica has stopped

Callers saw a request under which replicas ended being sent on when they left before the replicas ended, or when the replicas ended after the deadline. The host closes the connection of such a send itself, 0.25 s later: it recorded no evidence, and no connection was left whose end would have made it look.

A send that was given up is now kept, and its replica watched, until the crash window after the deadline that the replica was given, at most 12 s: a replica works until then if it does not drop requests whose connection closes. It counts only if the replica refuses connections, because none is answered in a network that is cut, and not if another replica has answered the part.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -104,6 +104,8 @@
 			c.resumeAt = now.Add(c.crashCheckDelay(now))
 			c.nextTick = earlier(c.nextTick, c.resumeAt)
 		}
+	case exchange.Code == wigeonspindle.CodeCancelled && exchange.Sent && c.parts[sent.PartIndex].response == nil:
+		c.WatchUntil = correlator.RecordAbandonedSend(fingerprints, pool, replica, c.isolated(sent), c.HardDeadline, now)
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return c.gatherer.recordLoss(sent.Replica, exchange.Reachability, now)
 	}
