store, watcher: read the whole registry again when it has come back from a copy

Callers saw neither a configuration nor a replica that were written after the store had come back from a copy, for as long as the host ran: its watch went on from a revision of the earlier era, which the store had given out anew.

--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -41,6 +41,9 @@
 	// relayInterval is the pause between requests to a relay. It limits the request rate when the
 	// state of the relay changes constantly.
 	relayInterval = 50 * time.Millisecond
+	// restoredPause is the time until the registry is read again after it has come back from a copy, which bounds the
+	// calls to one that does so again and again.
+	restoredPause = 50 * time.Millisecond
 	// faultLogInterval is the least time between two log lines about invalid entries. A writer of one
 	// may write it again and again.
 	faultLogInterval = 5 * time.Second
@@ -105,6 +108,10 @@
 		w.Logger.Warn("source no longer has the changes since this revision; reading its whole state", "revision", w.revision, "source", w.sourceName())
 		w.listed = false
 		return 0
+	case errors.Is(err, wigeonspindle.ErrRestored):
+		w.Logger.Warn("registry has come back from a copy; reading its whole state", "revision", w.revision, "source", w.sourceName())
+		w.listed = false
+		return restoredPause
 	case err != nil:
 		return w.handleError(err, started, now)
 	}
--- a/registry.go
+++ b/registry.go
@@ -10,6 +10,10 @@
 // ErrCompacted reports that a registry no longer holds the requested changes.
 var ErrCompacted = errors.New("the registry has dropped these changes")
 
+// ErrRestored reports that a registry has come back from a copy, which may be older than what it had
+// acknowledged. Revisions from before mean something else now.
+var ErrRestored = errors.New("the registry has come back from a copy")
+
 // ErrLeaseExpired reports that a lease has ended.
 var ErrLeaseExpired = errors.New("the lease has ended")
 
@@ -26,7 +30,8 @@
 	// List returns all entries.
 	List(ctx context.Context) (RegistryBatch, error)
 	// Follow returns the changes after a revision, waiting for the first one at most wait.
-	// It returns ErrCompacted when the changes are no longer held.
+	// It returns ErrCompacted when the changes are no longer held, and ErrRestored when the revision is
+	// one of an earlier era. It is called by one goroutine, and so is List.
 	Follow(ctx context.Context, after uint64, wait time.Duration) (RegistryBatch, error)
 }
 
--- a/replica.go
+++ b/replica.go
@@ -94,6 +94,9 @@
 type RegistryBatch struct {
 	Updates  []RegistryUpdate
 	Revision uint64 // Revision is the one after which Follow returns the next changes.
+	// Era counts how often the registry has come back from a copy; 0 when it does not say so. Revisions of
+	// different eras cannot be compared.
+	Era uint64
 	// Age is how old the content is: 0 from the registry itself, more from another host.
 	Age time.Duration
 	// Settled reports that the content holds only entries that the registry confirmed. After
