registrar: keep what a registry that came back from a copy lacks until its writers return

Callers could be sent to a failure domain that is out of service, miss replicas and hosts that live, and crash replicas with a call that was quarantined: the full list of an older copy took all that had been written since for removed, while the operators and replicas write it again only a moment later.

A list in a later era starts the recovery grace: replicas, hosts and failure domains that it lacks are kept for that time unless they are removed by a change, and other hosts do not adopt the state. Suspicions that it lacks are kept until they expire, because the host that wrote them may be gone.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -28,9 +28,10 @@
 	replicas   map[string]replicaEntry
 	removed    map[string]removedReplica
 	peers      map[string]peerEntry
-	outDomains map[string]bool
+	outDomains map[string]domainEntry
 	// suspicions holds the calls that hosts suspect of crashing replicas, by name.
-	suspicions        map[string]wigeonspindle.Suspicion
+	suspicions        map[string]suspicionEntry
+	era               uint64    // era is that of the latest content; 0 when it is not known.
 	unavailable       bool      // unavailable reports that the registry does not answer.
 	removalsTrustedAt time.Time // removalsTrustedAt is when removals take effect at once again.
 	lastAnswer        time.Time
@@ -56,6 +57,19 @@
 // seconds late.
 const removedRetention = time.Minute
 
+// domainEntry is a failure domain that is out of service.
+type domainEntry struct {
+	removalPending bool // removalPending is as in replicaEntry.
+}
+
+// suspicionEntry is a call that may crash replicas.
+type suspicionEntry struct {
+	suspicion wigeonspindle.Suspicion
+	// lost reports that the registry came back from a copy without the entry. It is kept until it expires, because
+	// the host that wrote it may be gone.
+	lost bool
+}
+
 type peerEntry struct {
 	peer           wigeonspindle.Peer
 	removalPending bool
@@ -92,11 +106,16 @@
 }
 
 // Replace applies a full list of the registry's entries, removes the entries that it lacks and
-// publishes the new state.
+// publishes the new state. When the registry has come back from a copy, what the list lacks is kept until its
+// writers have had time to write it again.
 func (r *Registrar) Replace(batch wigeonspindle.RegistryBatch, now time.Time) *wigeonspindle.DeploymentState {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	restored := r.era != 0 && batch.Era > r.era
 	r.recordAnswer(&batch, now)
+	if restored && !batch.Settled {
+		r.removalsTrustedAt = now.Add(r.RecoveryGrace)
+	}
 	updates := batch.Updates
 	listed := make(map[wigeonspindle.Subject]map[string]bool)
 	for i := range updates {
@@ -116,10 +135,25 @@
 			r.apply(&wigeonspindle.RegistryUpdate{Subject: wigeonspindle.SubjectPeer, Name: name, Removed: true}, now)
 		}
 	}
-	maps.DeleteFunc(r.outDomains, func(domain string, _ bool) bool { return !listed[wigeonspindle.SubjectDomain][domain] })
-	maps.DeleteFunc(r.suspicions, func(name string, _ wigeonspindle.Suspicion) bool {
-		return !listed[wigeonspindle.SubjectSuspicion][name]
-	})
+	for name, entry := range r.outDomains {
+		switch {
+		case listed[wigeonspindle.SubjectDomain][name]:
+		case restored || entry.removalPending:
+			r.outDomains[name] = domainEntry{removalPending: true}
+		default:
+			delete(r.outDomains, name)
+		}
+	}
+	for name, entry := range r.suspicions {
+		switch {
+		case listed[wigeonspindle.SubjectSuspicion][name]:
+		case restored || entry.lost:
+			entry.lost = true
+			r.suspicions[name] = entry
+		default:
+			delete(r.suspicions, name)
+		}
+	}
 	for i := range updates {
 		r.apply(&updates[i], now)
 	}
@@ -132,6 +166,7 @@
 		r.unavailable = false
 		r.removalsTrustedAt = now.Add(r.RecoveryGrace)
 	}
+	r.era = max(r.era, batch.Era)
 	if batch.Settled {
 		r.removalsTrustedAt = now // The other host has already waited for the owners to register again.
 	}
@@ -167,17 +202,17 @@
 		r.applyPeer(update, now)
 	case wigeonspindle.SubjectDomain:
 		if r.outDomains == nil {
-			r.outDomains = make(map[string]bool)
+			r.outDomains = make(map[string]domainEntry)
 		}
-		r.outDomains[update.Name] = true
+		r.outDomains[update.Name] = domainEntry{}
 		if update.Removed {
 			delete(r.outDomains, update.Name)
 		}
 	case wigeonspindle.SubjectSuspicion:
 		if r.suspicions == nil {
-			r.suspicions = make(map[string]wigeonspindle.Suspicion)
+			r.suspicions = make(map[string]suspicionEntry)
 		}
-		r.suspicions[update.Name] = update.Suspicion
+		r.suspicions[update.Name] = suspicionEntry{suspicion: update.Suspicion}
 		if update.Removed {
 			delete(r.suspicions, update.Name)
 		}
@@ -240,20 +275,14 @@
 // publish builds the state from the entries, records its changes and publishes it.
 func (r *Registrar) publish(now time.Time) *wigeonspindle.DeploymentState {
 	r.publishedAt = now
-	if !now.Before(r.removalsTrustedAt) {
-		for id, entry := range r.replicas {
-			if entry.removalPending {
-				r.removed[id] = removedReplica{replica: entry.replica, at: now}
-				delete(r.replicas, id)
-			}
-		}
-		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.removalPending })
-	}
-	maps.DeleteFunc(r.removed, func(_ string, last removedReplica) bool { return now.Sub(last.at) >= removedRetention })
+	r.dropLost(now)
 	state := &wigeonspindle.DeploymentState{
-		Catalog: r.catalog, OutDomains: maps.Clone(r.outDomains), RegistrySeen: r.lastAnswer,
+		Catalog: r.catalog, OutDomains: make(map[string]bool, len(r.outDomains)), RegistrySeen: r.lastAnswer,
 		Replicas: make(map[string][]*wigeonspindle.Replica),
 	}
+	for name := range r.outDomains {
+		state.OutDomains[name] = true
+	}
 	for _, entry := range r.replicas {
 		state.Replicas[entry.replica.Pool] = append(state.Replicas[entry.replica.Pool], entry.replica)
 	}
@@ -263,8 +292,8 @@
 	for _, entry := range r.peers {
 		state.Peers = append(state.Peers, entry.peer)
 	}
-	for _, suspicion := range r.suspicions {
-		state.Suspicions = append(state.Suspicions, suspicion)
+	for _, entry := range r.suspicions {
+		state.Suspicions = append(state.Suspicions, entry.suspicion)
 	}
 	slices.SortFunc(state.Suspicions, func(a, b wigeonspindle.Suspicion) int {
 		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Crash, b.Crash))
@@ -278,3 +307,21 @@
 	r.state.Store(state)
 	return state
 }
+
+// dropLost drops the entries that were kept after the registry no longer listed them, when their time is over.
+func (r *Registrar) dropLost(now time.Time) {
+	if !now.Before(r.removalsTrustedAt) {
+		for id, entry := range r.replicas {
+			if entry.removalPending {
+				r.removed[id] = removedReplica{replica: entry.replica, at: now}
+				delete(r.replicas, id)
+			}
+		}
+		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.removalPending })
+		maps.DeleteFunc(r.outDomains, func(_ string, entry domainEntry) bool { return entry.removalPending })
+	}
+	maps.DeleteFunc(r.removed, func(_ string, last removedReplica) bool { return now.Sub(last.at) >= removedRetention })
+	maps.DeleteFunc(r.suspicions, func(_ string, entry suspicionEntry) bool {
+		return entry.lost && !now.Before(entry.suspicion.Expires)
+	})
+}
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -247,3 +247,65 @@
 		t.Errorf("replicas after a new run under the same ID: got %d, want %d", got, want)
 	}
 }
+
+// suspicion returns a suspicion that expires 10 min after the start.
+func suspicion(crash string) wigeonspindle.RegistryUpdate {
+	known := wigeonspindle.Suspicion{Fingerprint: 7, Crash: crash, Score: 1, Expires: at(10 * time.Minute)}
+	return wigeonspindle.RegistryUpdate{Subject: wigeonspindle.SubjectSuspicion, Name: known.Name(), Suspicion: known}
+}
+
+func domain(name string) wigeonspindle.RegistryUpdate {
+	return wigeonspindle.RegistryUpdate{Subject: wigeonspindle.SubjectDomain, Name: name}
+}
+
+func inEra(era uint64, updates ...wigeonspindle.RegistryUpdate) wigeonspindle.RegistryBatch {
+	return wigeonspindle.RegistryBatch{Updates: updates, Era: era}
+}
+
+// TestRestoredCopyLacks guards against dropping what a registry that has come back from a copy lacks, before its
+// writers have written it again, and against keeping it for ever.
+func TestRestoredCopyLacks(t *testing.T) {
+	newRegistrar := func() *registrar.Registrar {
+		r := &registrar.Registrar{RecoveryGrace: 2 * time.Second}
+		r.Replace(inEra(1, catalog(5), replica("a", 1, 3), replica("b", 1, 3), peer("h"), domain("z"), suspicion("a-1")), at(0))
+		return r
+	}
+	count := func(r *registrar.Registrar) [4]int {
+		state := r.State()
+		return [4]int{len(state.Replicas["pool"]), len(state.Peers), len(state.OutDomains), len(state.Suspicions)}
+	}
+	for _, test := range []struct {
+		name string
+		play func(r *registrar.Registrar)
+		want [4]int // want is the number of replicas, hosts, domains taken out and suspicions.
+	}{
+		{"at once", func(*registrar.Registrar) {}, [4]int{2, 1, 1, 1}},
+		{"during the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(2900*time.Millisecond)) }, [4]int{2, 1, 1, 1}},
+		// The suspicion may have been reported by a host that has stopped since, so it is kept until it expires.
+		{"after the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(3100*time.Millisecond)) }, [4]int{1, 0, 0, 1}},
+		{"written again", func(r *registrar.Registrar) {
+			r.Apply(inEra(2, replica("b", 1, 4), peer("h"), domain("z"), suspicion("a-1")), at(2*time.Second))
+			r.Apply(inEra(2), at(10*time.Second))
+		}, [4]int{2, 1, 1, 1}},
+		{"withdrawn since", func(r *registrar.Registrar) {
+			r.Apply(inEra(2, domain("z"), removal(wigeonspindle.SubjectDomain, "z"), removal(wigeonspindle.SubjectSuspicion, suspicion("a-1").Name)), at(2*time.Second))
+		}, [4]int{2, 1, 0, 0}},
+		{"listed again without them", func(r *registrar.Registrar) { r.Replace(inEra(2, replica("a", 1, 4)), at(2*time.Second)) }, [4]int{2, 1, 1, 1}},
+		{"expired", func(r *registrar.Registrar) { r.Apply(inEra(2), at(11*time.Minute)) }, [4]int{1, 0, 0, 0}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRegistrar()
+			r.Replace(inEra(2, catalog(4), replica("a", 1, 2)), at(time.Second))
+			if r.Settled() {
+				t.Error("settled after the registry came back from a copy: got true, want false")
+			}
+			test.play(r)
+			if got := count(r); got != test.want {
+				t.Errorf("replicas, hosts, domains taken out, suspicions: got %v, want %v", got, test.want)
+			}
+			if got, want := r.State().Catalog.Version, uint64(5); got != want {
+				t.Errorf("version: got %d, want %d", got, want)
+			}
+		})
+	}
+}
