registrar: do not use again what left after the copy was made that a registry came back from

Callers were sent to replicas, and directed to hosts, that had left: the copy still has their entries, and the last report of such a replica counted as new, because only older ones than the last were late.

A report that is the same as the last one of a removed replica is late too.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -19,16 +19,20 @@
 type Registrar struct {
 	// RecoveryGrace is how long after the end of an outage a missing entry is kept.
 	RecoveryGrace time.Duration
+	// PeerTTL is the longest time for which the entry of a host that has stopped stays in the registry.
+	PeerTTL time.Duration
 	// SelectServing selects the hosts to which callers are sent; nil selects all.
 	SelectServing func(peers []wigeonspindle.Peer) []wigeonspindle.Peer
 
-	state      atomic.Pointer[wigeonspindle.DeploymentState]
-	mutex      sync.Mutex // mutex guards the fields below.
-	catalog    *wigeonspindle.Catalog
-	replicas   map[string]replicaEntry
-	removed    map[string]removedReplica
-	peers      map[string]peerEntry
-	outDomains map[string]domainEntry
+	state    atomic.Pointer[wigeonspindle.DeploymentState]
+	mutex    sync.Mutex // mutex guards the fields below.
+	catalog  *wigeonspindle.Catalog
+	replicas map[string]replicaEntry
+	removed  map[string]removedReplica
+	peers    map[string]peerEntry
+	// removedPeers holds when the entries of hosts were removed.
+	removedPeers map[string]time.Time
+	outDomains   map[string]domainEntry
 	// suspicions holds the calls that hosts suspect of crashing replicas, by name.
 	suspicions        map[string]suspicionEntry
 	era               uint64    // era is that of the latest content; 0 when it is not known.
@@ -73,6 +77,9 @@
 type peerEntry struct {
 	peer           wigeonspindle.Peer
 	removalPending bool
+	// doubtedUntil is until when the host may have left: its entry was removed, and a registry that came back from a
+	// copy lists it again. Unless the host lives, its lease ends by then.
+	doubtedUntil time.Time
 }
 
 // State returns the current deployment state, which callers must not modify. It is never nil.
@@ -155,11 +162,30 @@
 		}
 	}
 	for i := range updates {
-		r.apply(&updates[i], now)
+		update := &updates[i]
+		known, held := r.peers[update.Name]
+		r.apply(update, now)
+		if update.Subject == wigeonspindle.SubjectPeer && !update.Removed {
+			r.doubtPeer(update.Name, known, held, restored, now)
+		}
 	}
 	return r.publish(now)
 }
 
+// doubtPeer doubts a listed host whose entry was removed before the registry came back from a copy, or goes on to do
+// so. Known is its entry before the list was applied, if it was held.
+func (r *Registrar) doubtPeer(name string, known peerEntry, held, restored bool, now time.Time) {
+	entry := r.peers[name]
+	_, removed := r.removedPeers[name]
+	switch {
+	case held:
+		entry.doubtedUntil = known.doubtedUntil
+	case restored && removed:
+		entry.doubtedUntil = now.Add(r.PeerTTL)
+	}
+	r.peers[name] = entry
+}
+
 // recordAnswer records that the registry has answered this host or the host that it follows.
 func (r *Registrar) recordAnswer(batch *wigeonspindle.RegistryBatch, now time.Time) {
 	if r.unavailable {
@@ -242,10 +268,16 @@
 	}
 }
 
-// isLate reports whether a report is older than the last one of a replica whose entry was removed since.
+// isLate reports whether a report is not newer than the last one of a replica whose entry was removed since. That
+// one comes again when the registry comes back from a copy.
 func (r *Registrar) isLate(update *wigeonspindle.RegistryUpdate, now time.Time) bool {
 	last, ok := r.removed[update.Name]
-	return ok && now.Sub(last.at) < removedRetention && isStale(last.replica, update.Replica)
+	return ok && now.Sub(last.at) < removedRetention && (isStale(last.replica, update.Replica) || isSame(last.replica, update.Replica))
+}
+
+// isSame reports whether two reports are the same one of a replica.
+func isSame(known, next *wigeonspindle.Replica) bool {
+	return known.StartUnixMs == next.StartUnixMs && known.Sequence == next.Sequence
 }
 
 // isStale reports whether a report is older than the known one of the same replica.
@@ -258,7 +290,7 @@
 
 func (r *Registrar) applyPeer(update *wigeonspindle.RegistryUpdate, now time.Time) {
 	if r.peers == nil {
-		r.peers = make(map[string]peerEntry)
+		r.peers, r.removedPeers = make(map[string]peerEntry), make(map[string]time.Time)
 	}
 	known, ok := r.peers[update.Name]
 	switch {
@@ -266,12 +298,19 @@
 		known.removalPending = true
 		r.peers[update.Name] = known
 	case update.Removed:
-		delete(r.peers, update.Name)
+		r.removePeer(update.Name, now)
 	default:
 		r.peers[update.Name] = peerEntry{peer: update.Peer}
 	}
 }
 
+func (r *Registrar) removePeer(name string, now time.Time) {
+	if _, ok := r.peers[name]; ok {
+		r.removedPeers[name] = now
+		delete(r.peers, name)
+	}
+}
+
 // publish builds the state from the entries, records its changes and publishes it.
 func (r *Registrar) publish(now time.Time) *wigeonspindle.DeploymentState {
 	r.publishedAt = now
@@ -290,7 +329,9 @@
 		slices.SortFunc(replicas, func(a, b *wigeonspindle.Replica) int { return strings.Compare(a.ID, b.ID) })
 	}
 	for _, entry := range r.peers {
-		state.Peers = append(state.Peers, entry.peer)
+		if !now.Before(entry.doubtedUntil) {
+			state.Peers = append(state.Peers, entry.peer)
+		}
 	}
 	for _, entry := range r.suspicions {
 		state.Suspicions = append(state.Suspicions, entry.suspicion)
@@ -317,9 +358,14 @@
 				delete(r.replicas, id)
 			}
 		}
-		maps.DeleteFunc(r.peers, func(_ string, entry peerEntry) bool { return entry.removalPending })
+		for name, entry := range r.peers {
+			if entry.removalPending {
+				r.removePeer(name, now)
+			}
+		}
 		maps.DeleteFunc(r.outDomains, func(_ string, entry domainEntry) bool { return entry.removalPending })
 	}
+	maps.DeleteFunc(r.removedPeers, func(_ string, at time.Time) bool { return now.Sub(at) >= removedRetention })
 	maps.DeleteFunc(r.removed, func(_ string, last removedReplica) bool { return now.Sub(last.at) >= removedRetention })
 	maps.DeleteFunc(r.suspicions, func(_ string, entry suspicionEntry) bool {
 		return entry.lost && !now.Before(entry.suspicion.Expires)
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -309,3 +309,47 @@
 		})
 	}
 }
+
+// TestRestoredCopyRevives guards against new work for a replica, and callers for a host, that has left after the copy
+// was made from which the registry has come back.
+func TestRestoredCopyRevives(t *testing.T) {
+	newRegistrar := func() *registrar.Registrar {
+		r := &registrar.Registrar{RecoveryGrace: 2 * time.Second, PeerTTL: 4 * time.Second}
+		r.Replace(inEra(1, replica("a", 1, 3), replica("b", 1, 3), peer("h"), peer("left")), at(0))
+		r.Apply(inEra(1, removal(wigeonspindle.SubjectReplica, "a"), removal(wigeonspindle.SubjectPeer, "left")), at(time.Second))
+		return r
+	}
+	copied := inEra(2, replica("a", 1, 3), replica("b", 1, 3), peer("h"), peer("left"))
+	for _, test := range []struct {
+		name            string
+		play            func(r *registrar.Registrar)
+		replicas, peers int
+	}{
+		{"at once", func(*registrar.Registrar) {}, 1, 1},
+		{"removed again with its lease", func(r *registrar.Registrar) {
+			r.Apply(inEra(2, removal(wigeonspindle.SubjectPeer, "left"), removal(wigeonspindle.SubjectReplica, "a")), at(5*time.Second))
+			r.Apply(inEra(2), at(10*time.Second))
+		}, 1, 1},
+		{"started again", func(r *registrar.Registrar) {
+			r.Apply(inEra(2, replica("a", 2, 1), peer("left")), at(3*time.Second))
+		}, 2, 2},
+		{"still there when its lease has ended", func(r *registrar.Registrar) { r.Apply(inEra(2), at(6100*time.Millisecond)) }, 1, 2},
+		{"listed again", func(r *registrar.Registrar) {
+			r.Replace(copied, at(3*time.Second))
+			r.Apply(inEra(2), at(5900*time.Millisecond))
+		}, 1, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRegistrar()
+			r.Replace(copied, at(2*time.Second))
+			test.play(r)
+			state := r.State()
+			if got := len(state.Replicas["pool"]); got != test.replicas {
+				t.Errorf("replicas: got %d, want %d", got, test.replicas)
+			}
+			if got := len(state.Peers); got != test.peers {
+				t.Errorf("hosts: got %d, want %d", got, test.peers)
+			}
+		})
+	}
+}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -107,7 +107,7 @@
 		Name: s.Settings.Name, CallerAddress: s.Settings.CallerAddress, LinkAddress: s.Settings.LinkAddress, Domain: s.Settings.Domain, Capacity: s.Settings.CPUCapacity(),
 	}
 	meter := administrator.NewCallMeter()
-	s.registrar = &registrar.Registrar{RecoveryGrace: recoveryGrace, SelectServing: balancer.ServingHosts}
+	s.registrar = &registrar.Registrar{RecoveryGrace: recoveryGrace, PeerTTL: watcher.LeaseTTL, SelectServing: balancer.ServingHosts}
 	s.reporter = &watcher.Reporter{Registry: s.Registry, Clock: s.Clock, Logger: s.Logger}
 	s.dispatcher = &dispatcher.Dispatcher{
 		Gatherer: &gatherer.Gatherer{
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -14,10 +14,10 @@
 
 // Lease times of the host's own entry.
 const (
-	// leaseTTL is the time after which the entry of a crashed host expires. Until then, other
+	// LeaseTTL is the time after which the entry of a crashed host expires. Until then, other
 	// hosts use it and callers are directed to it.
-	leaseTTL = 4 * time.Second
-	// renewInterval tolerates two failed renewals within leaseTTL.
+	LeaseTTL = 4 * time.Second
+	// renewInterval tolerates two failed renewals within LeaseTTL.
 	renewInterval = 1300 * time.Millisecond
 	// servingLeaseTTL and servingRenewInterval are those of a host to which callers are directed. Callers
 	// that connect to a crashed host lose their request, so its entry expires sooner. The other hosts, which
@@ -138,7 +138,7 @@
 func (a *Announcer) register(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	short, ttl := a.Serving(), leaseTTL
+	short, ttl := a.Serving(), LeaseTTL
 	if short {
 		ttl = servingLeaseTTL
 	}
