reporter: write suspicions again when the registry has come back from a copy

A call that crashes replicas was served again by hosts that started after the registry had come back from a copy without the suspicions, and a withdrawn suspicion counted again: nobody wrote them anew.

The reporter keeps what the registry has taken, suspicions until they expire and withdrawals for 1 min, at most 256, and writes it again when the watcher meets a later era.

--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -130,7 +130,7 @@
 		Address: s.Settings.LinkListener(), Registrar: s.registrar, Clock: s.Clock, Logger: s.Logger, Epoch: random.Uint64(),
 	}
 	s.announcer = &watcher.Announcer{Registry: s.Registry, Logger: s.Logger, Ready: s.Ready, Down: s.watcher.Down, Serving: s.serving, Peer: self}
-	s.watcher.OnAvailable = s.announcer.Wake
+	s.watcher.OnAvailable, s.watcher.OnRestored = s.announcer.Wake, s.reporter.Restore
 	s.rotation.Store(random.Uint64())
 	s.reporter.Run()
 	s.dispatcher.Run()
--- a/internal/transport/watcher/reporter_test.go
+++ b/internal/transport/watcher/reporter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -113,3 +114,46 @@
 		}
 	})
 }
+
+// TestReporterRestore guards against a call that crashes replicas and is served again, or one that is refused again,
+// because the registry came back from a copy without what this host had reported.
+func TestReporterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &registry{reported: make(chan wigeonspindle.Suspicion, 16)}
+		reporter := newReporter(r)
+		reporter.Run()
+		defer reporter.Close()
+		suspicion := func(crash string, ttl time.Duration) wigeonspindle.Suspicion {
+			return wigeonspindle.Suspicion{Fingerprint: 7, Crash: crash, Score: 1, Expires: time.Now().Add(ttl)}
+		}
+		written := func() map[string]bool {
+			synctest.Wait()
+			got := make(map[string]bool)
+			for len(r.reported) > 0 {
+				report := <-r.reported
+				got[report.Crash] = report.Cleared
+			}
+			return got
+		}
+		withdrawn := suspicion("withdrawn", time.Hour)
+		for _, report := range []wigeonspindle.Suspicion{suspicion("kept", time.Hour), suspicion("expired", time.Second), withdrawn} {
+			reporter.Offer(report)
+		}
+		written()
+		withdrawn.Cleared = true
+		reporter.Offer(withdrawn)
+		written()
+		time.Sleep(2 * time.Second)
+		for range 2 {
+			reporter.Restore()
+			if got, want := written(), map[string]bool{"kept": false, "withdrawn": true}; !maps.Equal(got, want) {
+				t.Errorf("crashes written again, and whether they are withdrawn: got %v, want %v", got, want)
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		reporter.Restore()
+		if got, want := written(), map[string]bool{"kept": false}; !maps.Equal(got, want) {
+			t.Errorf("crashes written again 2 min later: got %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -62,12 +62,15 @@
 	OnChange func(deployment *wigeonspindle.DeploymentState)
 	// OnAvailable is called when the registry answers again, this host or a host that it follows.
 	OnAvailable func()
+	// OnRestored is called when the registry has come back from a copy, which may lack what this host has written.
+	OnRestored func()
 
 	source follower.Source
 	relay  *sharer.Client // relay is the followed relay, or nil if the source is the registry.
 	// base is the relay from which the present state comes, or nil if it comes from the registry.
 	base             *sharer.Client
 	revision         uint64
+	era              uint64      // era is the latest one of the content; 0 when it is not known.
 	listed           bool        // listed reports that revision is one of base.
 	down             atomic.Bool // down reports that the registry answers neither this host nor those that it follows.
 	unavailableSince time.Time   // unavailableSince is when the registry stopped answering; zero while it answers.
@@ -109,7 +112,7 @@
 		w.listed = false
 		return 0
 	case errors.Is(err, wigeonspindle.ErrRestored):
-		w.Logger.Warn("registry has come back from a copy; reading its whole state", "revision", w.revision, "source", w.sourceName())
+		w.Logger.Warn("source no longer has this revision, because the registry has come back from a copy; reading its whole state", "revision", w.revision, "source", w.sourceName())
 		w.listed = false
 		return restoredPause
 	case err != nil:
@@ -230,12 +233,27 @@
 	}
 	w.revision = batch.Revision
 	w.setBase()
+	w.recordEra(batch.Era)
 	w.logFaults(batch.Updates, now)
 	w.Follower.Prune(deployment.Peers)
 	w.logUpdates(registrar.Diff(previous, deployment))
 	w.OnChange(deployment)
 }
 
+// recordEra records the era of the content, and reports a registry that has come back from a copy.
+func (w *Watcher) recordEra(era uint64) {
+	if era <= w.era {
+		return
+	}
+	if w.era != 0 {
+		w.Logger.Warn("registry has come back from a copy", "era", era, "era_before", w.era, "source", w.sourceName(), "revision", w.revision)
+		if w.OnRestored != nil {
+			w.OnRestored()
+		}
+	}
+	w.era = era
+}
+
 // logFaults logs the first invalid entry and how many there are.
 func (w *Watcher) logFaults(updates []wigeonspindle.RegistryUpdate, now time.Time) {
 	first, count := -1, 0
