sharer, watcher: pass the era on, and follow no relay of an earlier one

A host that changes its relay shortly after the registry has come back from a copy could take over the content of one that had not read the registry since, and hosts that follow a relay did not learn of the restoration, so that they wrote no suspicion again.

The reply of a relay states the era (0 for a host of an earlier version, which is followed as before). Content of an earlier era counts as stale.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -119,8 +119,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	restored := r.era != 0 && batch.Era > r.era
+	unsettled := restored && !batch.Settled // A host that passes on a settled state has waited for the writers.
 	r.recordAnswer(&batch, now)
-	if restored && !batch.Settled {
+	if unsettled {
 		r.removalsTrustedAt = now.Add(r.RecoveryGrace)
 	}
 	updates := batch.Updates
@@ -166,7 +167,7 @@
 		known, held := r.peers[update.Name]
 		r.apply(update, now)
 		if update.Subject == wigeonspindle.SubjectPeer && !update.Removed {
-			r.doubtPeer(update.Name, known, held, restored, now)
+			r.doubtPeer(update.Name, known, held, unsettled, now)
 		}
 	}
 	return r.publish(now)
@@ -174,13 +175,13 @@
 
 // doubtPeer doubts a listed host whose entry was removed before the registry came back from a copy, or goes on to do
 // so. Known is its entry before the list was applied, if it was held.
-func (r *Registrar) doubtPeer(name string, known peerEntry, held, restored bool, now time.Time) {
+func (r *Registrar) doubtPeer(name string, known peerEntry, held, unsettled bool, now time.Time) {
 	entry := r.peers[name]
 	_, removed := r.removedPeers[name]
 	switch {
 	case held:
 		entry.doubtedUntil = known.doubtedUntil
-	case restored && removed:
+	case unsettled && removed:
 		entry.doubtedUntil = now.Add(r.PeerTTL)
 	}
 	r.peers[name] = entry
@@ -208,6 +209,13 @@
 	return !r.unavailable
 }
 
+// Era returns the latest era of the content; 0 when it is not known.
+func (r *Registrar) Era() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.era
+}
+
 // Settled reports whether other hosts can adopt the state: after an outage it holds no entry
 // that is kept only until its owner has had time to register again.
 func (r *Registrar) Settled() bool {
--- a/internal/transport/sharer/client.go
+++ b/internal/transport/sharer/client.go
@@ -66,5 +66,7 @@
 		return wigeonspindle.RegistryBatch{}, errors.Wrapf(err, "decode updates from host %s", c.Peer.Name)
 	}
 	c.epoch = reply.GetEpoch()
-	return wigeonspindle.RegistryBatch{Updates: updates, Revision: reply.GetPosition(), Age: time.Duration(reply.GetAge()), Settled: true}, nil
+	return wigeonspindle.RegistryBatch{
+		Updates: updates, Revision: reply.GetPosition(), Era: reply.GetEra(), Age: time.Duration(reply.GetAge()), Settled: true,
+	}, nil
 }
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -91,7 +91,8 @@
 
 // Follow implements the Relay service.
 func (s *Server) Follow(ctx context.Context, request *messenger.FollowRequest) (*messenger.FollowReply, error) {
-	reply := &messenger.FollowReply{Epoch: s.Epoch}
+	// The era is read first: content of a later era does no harm, one of an earlier era would.
+	reply := &messenger.FollowReply{Epoch: s.Epoch, Era: s.Registrar.Era()}
 	var updates []wigeonspindle.RegistryUpdate
 	switch {
 	case request.GetWhole():
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -193,8 +193,8 @@
 	} else {
 		batch, err = source.List(ctx)
 	}
-	if err == nil && batch.Age > sharer.MaxAge {
-		err = wigeonspindle.ErrStale
+	if err == nil && (batch.Age > sharer.MaxAge || batch.Era != 0 && batch.Era < w.era) {
+		err = wigeonspindle.ErrStale // A relay with content of an earlier era has not read the registry since.
 	}
 	return batch, err
 }
