follower: ask the registry itself when relays stand still or have only just an answer

Callers were served by an older configuration more than 3 s after a newer one had been acknowledged: a host whose relay stood still tried the others, of which some stood still too (1.2 s each) and some said that their state was not settled yet after an outage of the store, and did not ask the store, which answered.

A relay that is not settled says that the registry answers, so the host asks it then. So does a host whose state is older than 2 s after one relay that it cannot reach. In an outage neither holds, so that only relays ask. A host that a relay has told of an outage grants the recovery grace when it reads the registry itself.

TestUnsettledRelays failed before: state 4 s old, at most 3 s allowed.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -32,6 +32,9 @@
 	// relays again. An attempt that is not answered takes more than a second.
 	maxUnreachable = 2
 	cutOffPeriod   = 10 * time.Second
+	// urgentAge is the age of the state from which a host asks the registry itself after one relay that cannot be
+	// reached: another one would take more than a second, and the tightest limit for acting on a change is 3 s.
+	urgentAge = 2 * time.Second
 	// detourFailures is the number of failed calls in a row after which a relay looks for another
 	// relay, because the registry may turn away this host only.
 	detourFailures = 2
@@ -72,6 +75,8 @@
 type backoff struct {
 	until time.Time
 	stale bool // stale reports that the relay was reached but had no state to pass on.
+	// unsettled reports that this was because the registry has only just answered the relay again.
+	unsettled bool
 }
 
 // Choose returns the source for the next read. The parameter seen is when the registry last answered this
@@ -82,7 +87,7 @@
 		return Source{}
 	}
 	var first *wigeonspindle.Peer
-	stale, next := false, now.Add(unreachableBackoff)
+	stale, unsettled, next := false, false, now.Add(unreachableBackoff)
 	for i := range relays {
 		held := f.backoffs[relays[i].Name]
 		if !now.Before(held.until) {
@@ -94,12 +99,15 @@
 			}
 			continue
 		}
-		stale = stale || held.stale
+		stale, unsettled = stale || held.stale, unsettled || held.unsettled
 		if held.until.Before(next) {
 			next = held.until
 		}
 	}
+	urgent := f.unreachable > 0 && !seen.IsZero() && now.Sub(seen) > urgentAge
 	switch {
+	case (unsettled || urgent) && f.registryFailures == 0:
+		return Source{} // The registry has not failed to answer this host.
 	case first != nil:
 		return Source{Relay: first}
 	case isRelay || !stale:
@@ -167,7 +175,7 @@
 	}
 	held := backoff{until: now.Add(unreachableBackoff)}
 	if errors.Is(err, wigeonspindle.ErrStale) || errors.Is(err, wigeonspindle.ErrUnsettled) {
-		held = backoff{until: now.Add(staleBackoff), stale: true}
+		held = backoff{until: now.Add(staleBackoff), stale: true, unsettled: errors.Is(err, wigeonspindle.ErrUnsettled)}
 		f.unreachable = 0
 	} else if f.unreachable++; f.unreachable >= maxUnreachable {
 		f.cutOffUntil = now.Add(cutOffPeriod)
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -40,18 +40,21 @@
 	// be reached by others.
 	refused     func(host int, now time.Time) bool
 	unreachable func(host int, now time.Time) bool
-	calls       int // calls counts the calls to the registry.
+	// unsettled reports whether a host has no state for those that have not followed it before.
+	unsettled func(host int, now time.Time) bool
+	current   []string // current is the relay that each host has read from last.
+	calls     int      // calls counts the calls to the registry.
 }
 
 func newFleet(count, domains int) *fleet {
-	f := &fleet{peers: newPeers(count, domains), next: make([]time.Time, count), seen: make([]time.Time, count)}
+	f := &fleet{peers: newPeers(count, domains), next: make([]time.Time, count), seen: make([]time.Time, count), current: make([]string, count)}
 	for i, peer := range f.peers {
 		f.followers = append(f.followers, &follower.Follower{Self: peer, SelectRelays: balancer.RegistryRelays})
 		f.seen[i] = start
 		f.next[i] = start.Add(time.Duration(i) * time.Millisecond)
 	}
 	f.refused = func(int, time.Time) bool { return false }
-	f.unreachable = f.refused
+	f.unreachable, f.unsettled = f.refused, f.refused
 	return f
 }
 
@@ -90,6 +93,8 @@
 		err = errUnreachable
 	case now.Sub(f.seen[relay]) > 2*time.Second:
 		err = wigeonspindle.ErrStale
+	case f.unsettled(relay, now) && f.current[host] != source.Relay.Name:
+		err = wigeonspindle.ErrUnsettled
 	}
 	if err != nil {
 		if errors.Is(err, errUnreachable) {
@@ -101,6 +106,7 @@
 		return 10 * time.Millisecond
 	}
 	f.followers[host].RecordRead(source, now)
+	f.current[host] = source.Relay.Name
 	f.seen[host] = f.seen[relay]
 	return 500 * time.Millisecond
 }
@@ -208,3 +214,30 @@
 		t.Errorf("calls in 10 s without a fault: got %d, want at most %d, one a second of each relay", got, most)
 	}
 }
+
+// TestUnsettledRelays guards against hosts that stay without the state because their relays stand still and the
+// others wait for entries to return, although the registry answers.
+func TestUnsettledRelays(t *testing.T) {
+	for _, hosts := range []int{15, 195} {
+		f := newFleet(hosts, 3)
+		const standing = 2 // All relays but one.
+		f.play(0, 5*time.Second)
+		f.unreachable = func(host int, _ time.Time) bool { return host < standing }
+		f.unsettled = func(_ int, now time.Time) bool { return now.Before(start.Add(8 * time.Second)) }
+		for i := range standing {
+			f.next[i] = start.Add(time.Hour)
+		}
+		before := f.calls
+		// The tightest limit for acting on a change is 3 s.
+		for after := 5 * time.Second; after < 12*time.Second; after += 500 * time.Millisecond {
+			f.play(after, after+500*time.Millisecond)
+			if got, most := f.oldest(start.Add(after+500*time.Millisecond), func(host int) bool { return host >= standing }), 3*time.Second; got > most {
+				t.Errorf("%d hosts: oldest state after %v: got %v, want at most %v", hosts, after+500*time.Millisecond-5*time.Second, got, most)
+			}
+		}
+		// Hosts that followed one of the standing relays ask the registry once a second for 3 s.
+		if got, most := f.calls-before, 5*hosts; got > most {
+			t.Errorf("%d hosts: calls to the registry: got %d, want at most %d", hosts, got, most)
+		}
+	}
+}
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -206,8 +206,10 @@
 		switch {
 		case errors.Is(err, wigeonspindle.ErrUnsettled):
 			w.setDown(false)
+			w.Registrar.MarkUnavailable() // What the registry lacks when this host asks it may still return.
 		case errors.Is(err, wigeonspindle.ErrStale):
 			w.setDown(true)
+			w.Registrar.MarkUnavailable()
 		}
 		w.Logger.Warn("failed to read registry state from another host", "source", w.sourceName(), "error", err)
 		return 0
