simulator, tests: addresses that no other process and no other test takes

The tests let the kernel pick a free port, closed it, and let the host bind it later; another process may take it meanwhile, and the port of a replica that has ended may be taken by anyone.

ReservedAddress counts through ports below those that the kernel assigns, on loopback IPs of the process, and never returns one twice.

--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -127,10 +127,7 @@
 		ServiceTime: wigeonspindle.Duration(5 * time.Millisecond), Floor: 20, Downtime: wigeonspindle.Duration(time.Second),
 	}}})
 	var listings []wigeonspindle.ListedHost
-	free, err := simulator.FreeAddresses(3 * hosts)
-	if err != nil {
-		t.Fatal(err)
-	}
+	free := simulator.ReservedAddresses(3 * hosts)
 	for i := range hosts {
 		s := parser.Settings{
 			Name: fmt.Sprintf("host-%d", i), Domain: domains[i%len(domains)], Cell: "main", CallerAddress: free[3*i], LinkAddress: free[3*i+1], AdminAddress: free[3*i+2],
--- a/internal/transport/administrator/administrator_test.go
+++ b/internal/transport/administrator/administrator_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -225,13 +224,8 @@
 // TestClose guards against a listener or goroutine that outlives Close.
 func TestClose(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	placeholder, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = placeholder.Close()
 	api := &administrator.Administrator{
-		Address: placeholder.Addr().String(), Token: token, Host: newFakeHost(),
+		Address: simulator.ReservedAddress(), Token: token, Host: newFakeHost(),
 		Meter: administrator.NewMeter(fixedClock{}), Logger: log.New(io.Discard),
 	}
 	if err := api.Run(); err != nil {
--- a/internal/transport/commander/run_test.go
+++ b/internal/transport/commander/run_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -41,7 +40,7 @@
 		}
 	}()
 	settings := parser.Settings{
-		Name: "host-1", Domain: "a", Cell: "main", CallerAddress: freeAddress(t), LinkAddress: freeAddress(t), AdminAddress: freeAddress(t), Token: token,
+		Name: "host-1", Domain: "a", Cell: "main", CallerAddress: simulator.ReservedAddress(), LinkAddress: simulator.ReservedAddress(), AdminAddress: simulator.ReservedAddress(), Token: token,
 		StoreAddress: addresses.Store, HostListAddress: addresses.Hosts, Workers: 1, LogLevel: "debug", MaxBodyBytes: 4096, MaxConnections: 16,
 	}
 	environment.Hosts.Set([]wigeonspindle.ListedHost{{Name: "host-1", LinkAddress: settings.LinkAddress}})
@@ -149,15 +148,3 @@
 	}
 	return path
 }
-
-// freeAddress returns an unused address on a loopback IP that only this test uses, so that no
-// outgoing connection takes its port.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.4:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -24,6 +24,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/selector"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/throttler"
 	"wigeonspindle.example/wigeonspindle/internal/transport/dispatcher"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // waitTimeout bounds the wait for the dispatcher to act.
@@ -59,7 +60,7 @@
 // request, as a crashing replica does. It returns the address of the target.
 func crashingTarget(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", simulator.ReservedAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -18,6 +18,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/exchanger"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // waitTimeout bounds the wait for an expected event.
@@ -70,7 +71,7 @@
 // the connection after them.
 func newTarget(t *testing.T, respond func(path string) (text string, end bool)) *target {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", simulator.ReservedAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,15 +227,7 @@
 
 // TestRefusedConnection guards against a may-have-run verdict when nothing was sent.
 func TestRefusedConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	h := newHarness(t, address)
+	h := newHarness(t, simulator.ReservedAddress())
 	h.send("one", 4)
 	got := h.wait(t, "one")
 	if got.Verdict != wigeonspindle.NotRun || got.Code != wigeonspindle.CodeUnreachable || got.Sent {
--- a/internal/transport/launcher/cell_test.go
+++ b/internal/transport/launcher/cell_test.go
@@ -126,7 +126,7 @@
 func (c *testCell) addHost(t testing.TB) *launcher.Host {
 	i := len(c.hosts)
 	settings := parser.Settings{
-		Name: fmt.Sprintf("host-%02d", i), Domain: string(rune('a' + i%3)), Cell: "main", CallerAddress: freeAddress(t), LinkAddress: freeAddress(t), Workers: 1,
+		Name: fmt.Sprintf("host-%02d", i), Domain: string(rune('a' + i%3)), Cell: "main", CallerAddress: simulator.ReservedAddress(), LinkAddress: simulator.ReservedAddress(), Workers: 1,
 	}
 	host := &launcher.Host{
 		Settings: settings, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), Sender: &sender.Sender{Clock: timekeeper.SystemClock{}},
--- a/internal/transport/launcher/fleet_test.go
+++ b/internal/transport/launcher/fleet_test.go
@@ -71,7 +71,7 @@
 	publishConfig(t, store, wigeonspindle.Config{Rules: s.rules, Domains: s.domains(), Indexes: []wigeonspindle.Index{index}})
 	for i := range s.hosts {
 		domain := string(rune('a' + i))
-		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", CallerAddress: freeAddress(t), LinkListenAddress: freeAddress(t), Workers: 2}
+		settings := parser.Settings{Name: "host-" + domain, Domain: domain, Cell: "main", CallerAddress: simulator.ReservedAddress(), LinkListenAddress: simulator.ReservedAddress(), Workers: 2}
 		link := &simulator.Proxy{Upstream: settings.LinkListenAddress}
 		if err := link.Run(); err != nil {
 			t.Fatal(err)
--- a/internal/transport/launcher/host_test.go
+++ b/internal/transport/launcher/host_test.go
@@ -8,9 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,7 +57,7 @@
 	var listings []wigeonspindle.ListedHost
 	for _, domain := range []string{"a", "b"} {
 		settings := parser.Settings{
-			Name: "host-" + domain, Domain: domain, Cell: "main", CallerAddress: freeAddress(t), LinkAddress: freeAddress(t), Workers: 2,
+			Name: "host-" + domain, Domain: domain, Cell: "main", CallerAddress: simulator.ReservedAddress(), LinkAddress: simulator.ReservedAddress(), Workers: 2,
 		}
 		host := &launcher.Host{
 			Settings: settings, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard),
@@ -134,15 +132,3 @@
 }
 
 func serverAddress(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
-
-// lastPort is the last port offset given out. The ports are below the ephemeral range and the
-// loopback address is specific to the process, so that no other socket takes a port before
-// its listener opens.
-var lastPort atomic.Int64
-
-// freeAddress returns an unused loopback address.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/62500%250, pid/250%250, 1+pid%250, 20000+lastPort.Add(1)%10000)
-}
--- a/internal/transport/linker/linker_test.go
+++ b/internal/transport/linker/linker_test.go
@@ -15,6 +15,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/recorder"
 	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/linker"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // proxy forwards connections to a backend. After silence, existing connections stay open but
@@ -30,7 +31,7 @@
 
 func newProxy(t *testing.T, to string) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", simulator.ReservedAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,7 +175,7 @@
 	defer goleak.VerifyNone(t)
 	refused := make(chan string, 16)
 	a, _ := newLinker(t, "a", func(host, _ string) { refused <- host })
-	frozen, err := net.Listen("tcp", "127.0.0.1:0") // Accepts in the kernel and never answers.
+	frozen, err := net.Listen("tcp", simulator.ReservedAddress()) // Accepts in the kernel and never answers.
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/loader/cluster.go
+++ b/internal/transport/loader/cluster.go
@@ -69,14 +69,11 @@
 func (c *cluster) runHosts(addresses simulator.Addresses) error {
 	var listings []wigeonspindle.ListedHost
 	var settings []parser.Settings
-	freeAddresses, err := simulator.FreeAddresses(3 * c.deployment.Hosts)
-	if err != nil {
-		return err
-	}
+	free := simulator.ReservedAddresses(3 * c.deployment.Hosts)
 	for i := range c.deployment.Hosts {
 		settings = append(settings, parser.Settings{
 			Name: fmt.Sprintf("host-%02d", i), Domain: c.deployment.Domains[i%len(c.deployment.Domains)], Cell: "main",
-			CallerAddress: freeAddresses[3*i], LinkAddress: freeAddresses[3*i+1], AdminAddress: freeAddresses[3*i+2], Token: token,
+			CallerAddress: free[3*i], LinkAddress: free[3*i+1], AdminAddress: free[3*i+2], Token: token,
 			StoreAddress: addresses.Store, HostListAddress: addresses.Hosts, Workers: c.deployment.Workers, LogLevel: "error",
 			MaxBodyBytes: 1 << 20, MaxConnections: 4096,
 		})
--- a/internal/transport/sender/sender_test.go
+++ b/internal/transport/sender/sender_test.go
@@ -16,6 +16,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 	"wigeonspindle.example/wigeonspindle/internal/transport/sender"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // pausedClock jumps ahead after its first reading, as if the process had been paused.
@@ -34,7 +35,7 @@
 // serveRaw listens on a loopback address, passes each connection to handle and then closes it.
 func serveRaw(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", simulator.ReservedAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/server/listener_test.go
+++ b/internal/transport/server/listener_test.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // TestCloseListener guards against a shutdown that fails because a client has opened a connection
@@ -27,7 +28,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			started, release := make(chan struct{}), make(chan struct{})
 			defer close(release)
-			address := freeAddress(t)
+			address := simulator.ReservedAddress()
 			listener := &server.Listener{
 				Name: "test", Address: address, Connections: 4, ReadTimeout: time.Minute, WriteTimeout: time.Minute, Logger: log.New(io.Discard),
 				Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -16,6 +16,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // frontend answers after a delay, or refuses a query whose context ends first.
@@ -39,20 +40,9 @@
 	return wigeonspindle.AddressAnswer{TTL: wigeonspindle.Duration(time.Second)}
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }() // Only used to find a free port.
-	return listener.Addr().String()
-}
-
 func start(t *testing.T, s *server.Server) string {
 	t.Helper()
-	s.Address, s.Clock, s.Logger = freeAddress(t), timekeeper.SystemClock{}, log.New(io.Discard)
+	s.Address, s.Clock, s.Logger = simulator.ReservedAddress(), timekeeper.SystemClock{}, log.New(io.Discard)
 	if err := s.Run(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/server/timing_test.go
+++ b/internal/transport/server/timing_test.go
@@ -13,6 +13,7 @@
 
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // waitTimeout bounds the wait for the listener to act.
@@ -22,7 +23,7 @@
 func newListener(t *testing.T, limits wigeonspindle.CallLimits, handler http.HandlerFunc) net.Conn {
 	t.Helper()
 	listener := &server.Listener{
-		Name: "test", Address: freeAddress(t), Connections: 4, ReadTimeout: time.Minute, WriteTimeout: time.Minute, Logger: log.New(io.Discard),
+		Name: "test", Address: simulator.ReservedAddress(), Connections: 4, ReadTimeout: time.Minute, WriteTimeout: time.Minute, Logger: log.New(io.Discard),
 		Handler: handler, Limits: func() wigeonspindle.CallLimits { return limits },
 	}
 	if err := listener.Run(); err != nil {
--- a/internal/transport/sharer/sharer_test.go
+++ b/internal/transport/sharer/sharer_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
 	"wigeonspindle.example/wigeonspindle/internal/state/timekeeper"
 	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // waitTimeout bounds the wait for an answer.
@@ -25,14 +25,7 @@
 func newServer(t *testing.T, r *registrar.Registrar, address string, epoch uint64) (*sharer.Server, string) {
 	t.Helper()
 	if address == "" {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			t.Fatal(err)
-		}
+		address = simulator.ReservedAddress()
 	}
 	server := &sharer.Server{Address: address, Registrar: r, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), Epoch: epoch}
 	if err := server.Run(); err != nil {
--- a/internal/transport/simulator/loopback.go
+++ b/internal/transport/simulator/loopback.go
@@ -2,12 +2,22 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
+	"sync/atomic"
+)
 
-	"github.com/cockroachdb/errors"
+const (
+	// reservedIP is the number of the first loopback IP of ReservedAddress.
+	reservedIP = 254
+	// firstReservedPort and reservedPorts are the ports that ReservedAddress uses of each IP. They are below those
+	// that the kernel assigns.
+	firstReservedPort = 12000
+	reservedPorts     = 20000
 )
 
+// reservedAddresses counts the addresses that ReservedAddress has returned.
+var reservedAddresses atomic.Int64
+
 // Loopback returns an address with port 0 on a loopback IP that other processes do not use.
 func Loopback() string { return LoopbackIP(1) + ":0" }
 
@@ -19,17 +29,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, pid%256, number)
 }
 
-// FreeAddresses returns distinct loopback addresses that no listener uses.
-func FreeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", Loopback())
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		// Listeners stay open until the function returns, so that all addresses differ.
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+// ReservedAddress returns a loopback address that no other call returns. Nothing else takes its port before a
+// listener opens or after it has closed: other processes do not use the IP, and the kernel does not assign the port.
+func ReservedAddress() string {
+	number := int(reservedAddresses.Add(1) - 1)
+	return fmt.Sprintf("%s:%d", LoopbackIP(reservedIP-number/reservedPorts), firstReservedPort+number%reservedPorts)
+}
+
+// ReservedAddresses returns several reserved addresses.
+func ReservedAddresses(count int) []string {
+	addresses := make([]string, count)
+	for i := range addresses {
+		addresses[i] = ReservedAddress()
 	}
-	return addresses, nil
+	return addresses
 }
