--- a/internal/transport/watcher/watcher_test.go
+++ b/internal/transport/watcher/watcher_test.go
@@ -1,7 +1,9 @@
 package watcher_test
 
 import (
+	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,13 +22,18 @@
 // called.
 func newRelay(t *testing.T, number int, era uint64, replica string) (peer wigeonspindle.Peer, stop func()) {
 	t.Helper()
-	content := &registrar.Registrar{}
+	return runRelay(t, &registrar.Registrar{}, number, era, replica)
+}
+
+// runRelay starts a host that passes on content.
+func runRelay(t *testing.T, content *registrar.Registrar, number int, era uint64, replica string) (peer wigeonspindle.Peer, stop func()) {
+	t.Helper()
 	list := wigeonspindle.RegistryBatch{Era: era, Updates: []wigeonspindle.RegistryUpdate{
 		{Subject: wigeonspindle.SubjectReplica, Name: replica, Replica: &wigeonspindle.Replica{ID: replica, Pool: "p"}},
 	}}
 	content.Replace(list, time.Now())
 	server := &sharer.Server{
-		Address: simulator.LoopbackIP(number) + ":7199", Registrar: content, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), Epoch: uint64(number),
+		Address: simulator.ReservedAddress(), Registrar: content, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), Epoch: uint64(number),
 	}
 	if err := server.Run(); err != nil {
 		t.Fatal(err)
@@ -110,3 +117,54 @@
 		})
 	}
 }
+
+// emptyRegistry is a registry without entries.
+type emptyRegistry struct {
+	wigeonspindle.Registry
+	lists atomic.Int32
+}
+
+func (e *emptyRegistry) List(context.Context) (wigeonspindle.RegistryBatch, error) {
+	e.lists.Add(1)
+	return wigeonspindle.RegistryBatch{Revision: 1}, nil
+}
+
+func (*emptyRegistry) Follow(_ context.Context, after uint64, _ time.Duration) (wigeonspindle.RegistryBatch, error) {
+	return wigeonspindle.RegistryBatch{Revision: after}, nil
+}
+
+// TestRegistryAfterUnsettledRelay guards against dropping live replicas whose entries ended while the registry was
+// unavailable, by a host that learned of the outage from a relay and then reads the registry itself.
+func TestRegistryAfterUnsettledRelay(t *testing.T) {
+	first, stop := newRelay(t, 1, 0, "live")
+	unsettled := &registrar.Registrar{RecoveryGrace: time.Hour}
+	second, _ := runRelay(t, unsettled, 2, 0, "live")
+	second.Name = "unsettled"
+	unsettled.MarkUnavailable()
+	known, registry := &registrar.Registrar{RecoveryGrace: time.Hour}, &emptyRegistry{}
+	w := &watcher.Watcher{
+		Registry: registry, Registrar: known, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), OnChange: func(*wigeonspindle.DeploymentState) {},
+		Follower: &follower.Follower{SelectRelays: func([]wigeonspindle.Peer, wigeonspindle.Peer, int) ([]wigeonspindle.Peer, bool) {
+			return []wigeonspindle.Peer{first, second}, false
+		}},
+	}
+	w.Run()
+	defer w.Close()
+	waitUntil(t, "state of the first relay", func() bool { return len(known.State().Replicas["p"]) == 1 })
+	stop()
+	waitUntil(t, "listing of the registry", func() bool { return registry.lists.Load() > 0 })
+	time.Sleep(200 * time.Millisecond) // The listing is applied.
+	if got, want := len(known.State().Replicas["p"]), 1; got != want {
+		t.Errorf("replicas whose entries may return: got %d, want %d", got, want)
+	}
+}
+
+// waitUntil waits until a condition holds, at most for waitTimeout.
+func waitUntil(t *testing.T, description string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: got none within %v, want one", description, waitTimeout)
+		}
+	}
+}
