registrar: take a report that was known before a removal only for a copy's after a restoration

A live replica could stay unused at a host: its entry ended in an outage, and returned, through a relay that passes on no heartbeats, with the report that the host knew.

TestSameReportAfterOutage failed before.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -38,6 +38,7 @@
 	era               uint64    // era is that of the latest content; 0 when it is not known.
 	unavailable       bool      // unavailable reports that the registry does not answer.
 	removalsTrustedAt time.Time // removalsTrustedAt is when removals take effect at once again.
+	copyTrustedAt     time.Time // copyTrustedAt is when the copy that the registry came back from can no longer revive a removed replica.
 	lastAnswer        time.Time
 	// publishedAt is when the state was last built.
 	publishedAt time.Time
@@ -122,7 +123,7 @@
 	unsettled := restored && !batch.Settled // A host that passes on a settled state has waited for the writers.
 	r.recordAnswer(&batch, now)
 	if unsettled {
-		r.removalsTrustedAt = now.Add(r.RecoveryGrace)
+		r.removalsTrustedAt, r.copyTrustedAt = now.Add(r.RecoveryGrace), now.Add(removedRetention)
 	}
 	updates := batch.Updates
 	listed := make(map[wigeonspindle.Subject]map[string]bool)
@@ -276,11 +277,14 @@
 	}
 }
 
-// isLate reports whether a report is not newer than the last one of a replica whose entry was removed since. That
-// one comes again when the registry comes back from a copy.
+// isLate reports whether a report is older than the last one of a replica whose entry was removed since, or is that
+// one, which comes again when the registry comes back from a copy.
 func (r *Registrar) isLate(update *wigeonspindle.RegistryUpdate, now time.Time) bool {
 	last, ok := r.removed[update.Name]
-	return ok && now.Sub(last.at) < removedRetention && (isStale(last.replica, update.Replica) || isSame(last.replica, update.Replica))
+	if !ok || now.Sub(last.at) >= removedRetention {
+		return false
+	}
+	return isStale(last.replica, update.Replica) || now.Before(r.copyTrustedAt) && isSame(last.replica, update.Replica)
 }
 
 // isSame reports whether two reports are the same one of a replica.
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -353,3 +353,15 @@
 		})
 	}
 }
+
+// TestSameReportAfterOutage guards against a live replica that is not used again because its entry ended in an outage
+// and returned with the report that the host knew.
+func TestSameReportAfterOutage(t *testing.T) {
+	r := &registrar.Registrar{}
+	r.Replace(inEra(1, replica("a", 1, 3)), at(0))
+	r.Apply(inEra(1, removal(wigeonspindle.SubjectReplica, "a")), at(time.Second))
+	r.Apply(inEra(1, replica("a", 1, 3)), at(2*time.Second))
+	if got, want := len(r.State().Replicas["pool"]), 1; got != want {
+		t.Errorf("replicas: got %d, want %d", got, want)
+	}
+}
