--- a/internal/transport/launcher/cell_test.go
+++ b/internal/transport/launcher/cell_test.go
@@ -90,7 +90,7 @@
 	t.Cleanup(c.listServer.Close)
 	seedConfig(t, &storer.Storer{Address: serverAddress(c.storeServer)}, c.config())
 	for range hosts {
-		c.addHost(t)
+		c.addHost()
 	}
 	for _, host := range c.hosts {
 		if err := host.Run(); err != nil {
@@ -123,7 +123,7 @@
 }
 
 // addHost adds a host to the cell and the host list without starting it.
-func (c *testCell) addHost(t testing.TB) *launcher.Host {
+func (c *testCell) addHost() *launcher.Host {
 	i := len(c.hosts)
 	settings := parser.Settings{
 		Name: fmt.Sprintf("host-%02d", i), Domain: string(rune('a' + i%3)), Cell: "main", CallerAddress: simulator.ReservedAddress(), LinkAddress: simulator.ReservedAddress(), Workers: 1,
--- a/internal/transport/launcher/membership_test.go
+++ b/internal/transport/launcher/membership_test.go
@@ -91,7 +91,7 @@
 	c := newTestCell(t, 6, time.Millisecond)
 	c.store.failing.Store(true)
 	c.storeServer.CloseClientConnections() // Breaks the open watches.
-	lateHost := c.addHost(t)
+	lateHost := c.addHost()
 	if err := lateHost.Run(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/launcher/process_test.go
+++ b/internal/transport/launcher/process_test.go
@@ -49,7 +49,7 @@
 // startProcess runs the next host of the cell in a separate process.
 func (c *testCell) startProcess(t *testing.T) (string, *os.Process) {
 	t.Helper()
-	host := c.addHost(t)
+	host := c.addHost()
 	c.hosts = c.hosts[:len(c.hosts)-1]
 	s := host.Settings
 	command := exec.Command(os.Args[0], "-test.run=^TestHostProcess$")
--- a/internal/transport/watcher/watcher_test.go
+++ b/internal/transport/watcher/watcher_test.go
@@ -97,16 +97,12 @@
 				}
 				return ""
 			}
-			waitFor := func(want string, period time.Duration) {
-				for end := time.Now().Add(period); replica() != want && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-				}
-			}
-			waitFor("first", waitTimeout)
+			waitUntil(t, "content of the first relay", func() bool { return replica() == "first" })
 			stop()
 			if test.want == "first" {
-				waitFor("second", 2*time.Second)
+				time.Sleep(2 * time.Second) // Time to follow the second relay.
 			} else {
-				waitFor("second", waitTimeout)
+				waitUntil(t, "content of the second relay", func() bool { return replica() == "second" })
 			}
 			if got := replica(); got != test.want {
 				t.Errorf("content: got that of the %s relay, want that of the %s", got, test.want)
