--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -46,6 +46,7 @@
 	record  *record
 	journal *journal
 	prefix  string // prefix begins the IDs of the requests.
+	hold    int    // hold is how many times its TTL an answer of the directory is kept; 0 means 1.
 
 	mutex     sync.Mutex
 	addresses []string
@@ -59,7 +60,7 @@
 func (c *clients) resolve() (string, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.addresses) == 0 || time.Since(c.resolved) > c.ttl {
+	if len(c.addresses) == 0 || time.Since(c.resolved) > c.ttl*time.Duration(max(c.hold, 1)) {
 		for _, node := range c.fleet.nodes {
 			addresses, ttl, err := askDirectory(node.directory)
 			if err == nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -51,7 +51,7 @@
 		n := &node{name: name, caller: at(8104), directory: at(8100), ready: at(8108), settings: filepath.Join(folder, name+".json")}
 		settings, err := json.Marshal(map[string]any{
 			"name": name, "domain": string(rune('a' + i%3)), "caller": n.caller, "directory": n.directory, "ready": n.ready,
-			"metrics": at(7380), "link": at(7395), "store": store.address(), "grace": fmt.Sprintf("%ds", graceSeconds),
+			"metrics": at(7380), "link": at(7395), "store": store.address(), "grace": (graceSeconds * time.Second).String(),
 			"drain": fmt.Sprintf("%dms", drainPeriod.Milliseconds()), "ratio": 0.2, "slack": 104, "window": "10s",
 			"share": 0.272, "cores": 1, "memory": memoryMB, "files": 2870,
 		})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,8 @@
 	"late-refusal":  lateRefusal,
 	"pinned-drain":  pinnedDrain,
 	"lost-register": lostRegister,
+	"cold-again":    coldAgain,
+	"changed-grace": changedGrace,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/register.go
+++ b/review/standin/register.go
@@ -36,7 +36,7 @@
 		r := b.newReplica(fmt.Sprintf("i-comm%02d", index), "commissions", string(rune('a'+index%2)), 2, 8, registerWork)
 		r.warmup = warmup
 		if warmup > 0 {
-			r.onArrival = b.crashWhenPressed
+			r.onArrival = b.crashAbove(crashFactor * warmupRate)
 		}
 		return r, r.start("")
 	}
@@ -92,33 +92,10 @@
 		b.record.printf("FAILBACK: cold replica %s got %d requests in the second from %v after its start; the bound is %d", r.id, worst, after.Round(time.Millisecond), bound)
 		fmt.Printf("cold replica %s got %d requests in the second from %v after its start; the bound is %d\n", r.id, worst, after.Round(time.Millisecond), bound)
 	}
-	lost := 0
-	for id := range b.journal.runsByID() {
-		if status := b.journal.answerTo(id).status; status != http.StatusOK {
-			lost++
-			b.record.printf("%s began to run; its client got %d", id, status)
-		}
-	}
-	b.record.printf("result: %d requests began to run and got no success", lost)
-	fmt.Printf("%d requests began to run and got no success\n", lost)
+	b.countLost()
 	return broken, nil
 }
 
-// crashWhenPressed crashes a cold replica that gets requests at a rate well above its warm-up rate.
-func (b *bench) crashWhenPressed(r *replica, _ string) {
-	count := 0
-	now := time.Now()
-	for _, a := range b.journal.arrivalsAt(r.id) {
-		if now.Sub(a.at) < time.Second {
-			count++
-		}
-	}
-	if float64(count) > crashFactor*warmupRate && now.Sub(r.born) < warmupPeriod {
-		b.record.printf("cold replica %s crashes: %d requests in a second", r.id, count)
-		go r.crash()
-	}
-}
-
 // sendByZone sends requests at random times at a mean rate until a time. The clients of a zone ask the directory of the
 // node in their zone, and the others if it doesn't answer.
 func (b *bench) sendByZone(path string, perSecond float64, until time.Time) {
@@ -182,24 +159,3 @@
 	}
 	return found
 }
-
-// worstSecond returns the largest number of requests that reached a replica within a second between two times, and when
-// after the first of them that second began.
-func (j *journal) worstSecond(replica string, from, to time.Time) (worst int, after time.Duration) {
-	arrivals := j.arrivalsAt(replica)
-	for i, first := range arrivals {
-		if first.at.Before(from) || first.at.Add(time.Second).After(to) {
-			continue
-		}
-		count := 0
-		for _, a := range arrivals[i:] {
-			if a.at.Sub(first.at) < time.Second {
-				count++
-			}
-		}
-		if count > worst {
-			worst, after = count, first.at.Sub(from)
-		}
-	}
-	return worst, after
-}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -43,6 +43,8 @@
 	state      string
 	sequence   uint64
 	born       time.Time
+	coldSince  time.Time // coldSince and coldUntil are the bounds of the last time in which the replica is cold.
+	coldUntil  time.Time
 	stop       chan struct{}
 	heartbeats sync.WaitGroup
 	random     *rand.Rand
@@ -70,6 +72,7 @@
 	r.mutex.Lock()
 	r.listener, r.conns, r.free, r.stop = listener, make(map[net.Conn]bool), make(chan struct{}), make(chan struct{})
 	r.running, r.waiting, r.state, r.ended, r.sequence, r.born = 0, 0, "ready", false, 0, time.Now()
+	r.coldSince, r.coldUntil = r.born, r.born.Add(r.warmup)
 	if r.random == nil {
 		r.random = rand.New(rand.NewPCG(uint64(len(r.id)), uint64(r.id[len(r.id)-1])))
 	}
@@ -121,7 +124,16 @@
 }
 
 // coldFor returns how much longer the replica is cold. The caller holds the mutex.
-func (r *replica) coldFor() time.Duration { return max(r.warmup-time.Since(r.born), 0) }
+func (r *replica) coldFor() time.Duration { return max(time.Until(r.coldUntil), 0) }
+
+// chill makes the replica cold again for a time. It returns when the store has accepted the report.
+func (r *replica) chill(duration time.Duration) {
+	r.mutex.Lock()
+	r.coldSince = time.Now()
+	r.coldUntil = r.coldSince.Add(duration)
+	r.mutex.Unlock()
+	r.writeEntry()
+}
 
 func (r *replica) writeEntry() {
 	r.mutex.Lock()
@@ -215,7 +227,10 @@
 	id := request.Header.Get("X-Request-Id")
 	switch {
 	case request.URL.Path == "/health":
-		return r.encode(200, id, nil, "X-Instance-Id", r.id)
+		r.mutex.Lock()
+		left := r.coldFor().Milliseconds()
+		r.mutex.Unlock()
+		return r.encode(200, id, nil, "X-Instance-Id", r.id, "X-Warmup-Ms", strconv.FormatInt(left, 10))
 	case request.Header.Get("X-Expected-Instance") != r.id:
 		return r.encode(421, id, nil, "X-Instance-Id", r.id)
 	case id == "":
