--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -77,14 +77,17 @@
 // crashAbove returns a function that crashes a cold replica once it has got more than a number of requests in a second.
 func (b *bench) crashAbove(limit float64) func(r *replica, id string) {
 	return func(r *replica, _ string) {
+		r.mutex.Lock()
+		since, until := r.coldSince, r.coldUntil
+		r.mutex.Unlock()
 		count := 0
 		now := time.Now()
 		for _, a := range b.journal.arrivalsAt(r.id) {
-			if a.at.After(r.coldSince) && now.Sub(a.at) < time.Second {
+			if a.at.After(since) && now.Sub(a.at) < time.Second {
 				count++
 			}
 		}
-		if float64(count) > limit && now.Before(r.coldUntil) {
+		if float64(count) > limit && now.Before(until) {
 			b.record.printf("cold replica %s crashes: %d requests in a second", r.id, count)
 			go r.crash()
 		}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -190,7 +190,7 @@
 			}
 			late = nil
 		}
-		gone := make(chan struct{}) // gone is closed when the connection has ended or the next request has arrived.
+		gone := make(chan struct{}) // gone is closed when the connection has ended.
 		ended := make(chan error, 1)
 		go func() {
 			_, err := reader.Peek(1)
