exchanger: never carry a call ID twice on a connection

Cause: all sends of a call bear its ID, and the pool gave a repeated send the connection that had carried the first. A late second copy of the first refusal was taken for the answer to the second send.

Ruled out: responses without an ID or with another one, and bytes that wait on an idle connection.

Change: a connection knows the IDs that it has carried (hashes, at most 1,024, then it is replaced), and the pool passes over it for a call with one of them. A response before the request is written no longer counts as its answer.

--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -38,6 +39,9 @@
 	idleMargin = time.Second
 	// defaultIdleTimeout applies to a replica that states no idle timeout.
 	defaultIdleTimeout = 30 * time.Second
+	// maxCallsPerConnection bounds the calls that a connection carries before it is replaced, and with them the
+	// memory for their IDs: about 20 KB for each connection.
+	maxCallsPerConnection = 1024
 )
 
 // Job is a request to be sent once on a connection.
@@ -79,6 +83,8 @@
 	IdleSince  time.Time
 	ReuseUntil time.Time
 
+	// carried holds the hashes of the IDs of the calls that the connection has carried. Only the owner uses it.
+	carried    map[uint64]struct{}
 	dialled    time.Time     // dialled is when Run was called.
 	memory     *bodyMemory   // memory is that of all connections of the pool.
 	limit      limitedReader // limit bounds the response that is being read.
@@ -104,8 +110,22 @@
 	}()
 }
 
-// Submit starts a job on an open connection that has none.
+// Carried reports whether a call with an ID has been sent on the connection before. A late second copy of its
+// response cannot be told from the response to another send with the same ID.
+func (c *Connection) Carried(id string) bool {
+	_, ok := c.carried[xxhash.Sum64String(id)]
+	return ok
+}
+
+// Exhausted reports whether the connection has carried so many calls that it must be replaced.
+func (c *Connection) Exhausted() bool { return len(c.carried) >= maxCallsPerConnection }
+
+// Submit starts a job on an open connection that has none and has not carried the call.
 func (c *Connection) Submit(job *Job) {
+	if c.carried == nil {
+		c.carried = make(map[uint64]struct{})
+	}
+	c.carried[xxhash.Sum64String(job.Call.ID)] = struct{}{}
 	job.started = c.Clock.Now()
 	c.jobs.Offer(job) // Never full: the ring holds one job, and the owner submits one at a time.
 }
@@ -169,10 +189,10 @@
 	for {
 		select {
 		case job := <-c.jobs.C():
+			job.written.Store(true) // Before readLoop can take the job.
 			c.mutex.Lock()
 			c.current = job
 			c.mutex.Unlock()
-			job.written.Store(true)
 			if _, err := c.conn.Write(job.Request); err != nil {
 				_ = c.conn.Close() // readLoop reports the job.
 			}
@@ -192,8 +212,10 @@
 			c.reportFailure(job, err)
 			return err
 		}
-		if job == nil {
-			return errors.New("unexpected data: no request in progress")
+		if job == nil || !job.written.Load() {
+			err := errors.New("unexpected data: no request in progress")
+			c.reportFailure(job, err) // writeLoop does not send a job that was taken before it.
+			return err
 		}
 		reusable, err := c.receive(reader, job)
 		if err != nil {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"slices"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -50,18 +51,18 @@
 func (r *replicaConnections) size() int { return len(r.idle) + len(r.active) + len(r.opening) }
 
 // Send assigns a job to a connection to a replica, opening one while there are fewer than
-// limit. It reports false when all connections are in use. The job gets no connection that has
-// been idle for longer than maxIdle; 0 means no such limit.
+// limit. It reports false when all connections are in use. The job gets no connection that has carried its
+// call before, or that has been idle for longer than maxIdle; 0 means no such limit.
 func (p *Pool) Send(replica *wigeonspindle.Replica, job *Job, limit int, maxIdle time.Duration) bool {
 	r := p.connectionsTo(replica.ID)
 	now := p.Clock.Now()
-	if connection := p.takeIdle(r, now, maxIdle); connection != nil {
+	if connection := p.takeIdle(r, job.Call.ID, now, maxIdle); connection != nil {
 		r.active[connection] = job
 		connection.Submit(job)
 		return true
 	}
 	if r.size() >= limit && len(r.idle) > 0 {
-		p.abortIdle(r.idle[0]) // It has been idle for longer than maxIdle.
+		p.abortIdle(r.idle[0]) // It has been idle for longer than maxIdle, or has carried the call.
 		r.idle = r.idle[1:]
 	}
 	if r.size() >= limit && len(r.opening) <= len(r.waiting) {
@@ -240,9 +241,15 @@
 
 // assignNext assigns the next waiting job to a connection, or keeps the connection idle.
 func (p *Pool) assignNext(r *replicaConnections, connection *Connection) {
-	if len(r.waiting) > 0 {
-		job := r.waiting[0]
-		r.waiting = r.waiting[1:]
+	if connection.Exhausted() {
+		p.abortIdle(connection)
+		return
+	}
+	// A job whose call the connection has carried goes on waiting: a connection is opening for each waiting job.
+	next := slices.IndexFunc(r.waiting, func(job *Job) bool { return !connection.Carried(job.Call.ID) })
+	if next >= 0 {
+		job := r.waiting[next]
+		r.waiting = slices.Delete(r.waiting, next, next+1)
 		r.active[connection] = job
 		connection.Submit(job)
 		return
@@ -281,20 +288,21 @@
 	return r
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if there is none
-// within maxIdle. Connections that the replica may close are aborted.
-func (p *Pool) takeIdle(r *replicaConnections, now time.Time, maxIdle time.Duration) *Connection {
-	for len(r.idle) > 0 {
-		last := len(r.idle) - 1
-		connection := r.idle[last]
-		if maxIdle > 0 && now.Sub(connection.IdleSince) > maxIdle && now.Before(connection.ReuseUntil) {
-			return nil
-		}
-		r.idle = r.idle[:last]
-		if now.Before(connection.ReuseUntil) {
+// takeIdle removes and returns the most recently used idle connection that has not carried a call, or nil if
+// there is none within maxIdle. Connections that the replica may close are aborted.
+func (p *Pool) takeIdle(r *replicaConnections, call string, now time.Time, maxIdle time.Duration) *Connection {
+	for i := len(r.idle) - 1; i >= 0; i-- {
+		connection := r.idle[i]
+		switch {
+		case !now.Before(connection.ReuseUntil):
+			r.idle = slices.Delete(r.idle, i, i+1)
+			p.abortIdle(connection)
+		case maxIdle > 0 && now.Sub(connection.IdleSince) > maxIdle:
+			return nil // The remaining ones have been idle for longer.
+		case !connection.Carried(call):
+			r.idle = slices.Delete(r.idle, i, i+1)
 			return connection
 		}
-		p.abortIdle(connection)
 	}
 	return nil
 }
