gatherer: choose the replicas of each send by the current state

Cause: a call read all its later decisions from the deployment state of its arrival: rounds after a refusal, retries, hedges, held parts, moved sends, budgets and the time to return.

Ruled out: a late view of the host (its log has the entry before the late sends) and sends that wait for a connection (no send was moved).

Change: a call keeps its route and the version of its configuration, and reads the rest from the gatherer's current state. Parts that wait for a round reconsider it when the state changes, so that a free replica is used at once and a call that no replica can take is refused at once. Sends that wait for a connection to a replica that no longer accepts work are withdrawn. Limits of a pool that the new configuration drops hold as long as it has replicas.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -8,9 +8,10 @@
 
 // CallState is the state of one call.
 type CallState struct {
-	Call       *wigeonspindle.Call
-	Route      *wigeonspindle.Route
-	Deployment *wigeonspindle.DeploymentState
+	Call  *wigeonspindle.Call
+	Route *wigeonspindle.Route
+	// ConfigVersion is the version of the configuration that Route belongs to.
+	ConfigVersion uint64
 	// SoftDeadline is when the call is answered without the missing parts if the others give
 	// the required coverage.
 	SoftDeadline time.Time
@@ -146,6 +147,37 @@
 	return step
 }
 
+// HandleDeployment reconsiders the parts that wait for their next round when the deployment has changed: a replica
+// may have become usable earlier, or none may be left. It reports whether anything has changed for the call.
+func (c *CallState) HandleDeployment(now time.Time) (Step, bool) {
+	var step Step
+	changed := false
+	for i := range c.parts {
+		p := &c.parts[i]
+		if c.decided || p.response != nil || p.failed || p.retryAt.IsZero() || p.waitingForOther || len(p.inFlight) > 0 {
+			continue
+		}
+		retryAt, ok := c.nextRoundAt(p, now)
+		switch {
+		case !ok:
+			p.retryAt = time.Time{}
+			c.failPart(p)
+		case retryAt.Equal(p.retryAt):
+			continue
+		default:
+			p.retryAt = retryAt
+		}
+		changed = true
+	}
+	if !changed {
+		return step, false
+	}
+	c.advanceHeldParts(now, &step)
+	c.nextTick = c.computeNextTick(now)
+	c.decide(now, &step)
+	return step, true
+}
+
 // FinishBy brings the deadline of a call forward, because the host stops.
 func (c *CallState) FinishBy(deadline, now time.Time) Step {
 	var step Step
@@ -181,7 +213,7 @@
 	usable := 0
 	expected := c.expectedLatency(now)
 	for i := range c.parts {
-		if c.gatherer.Selector.HasUsableReplica(c.Deployment, c.parts[i].pool, expected, now) {
+		if c.gatherer.Selector.HasUsableReplica(c.gatherer.Deployment, c.parts[i].pool, expected, now) {
 			usable++
 		}
 	}
@@ -193,7 +225,7 @@
 	expected := c.expectedLatency(now)
 	waits := make([]time.Duration, len(c.parts))
 	for i := range c.parts {
-		waits[i] = c.gatherer.Selector.QueueWait(c.Deployment, c.parts[i].pool, expected, now)
+		waits[i] = c.gatherer.Selector.QueueWait(c.gatherer.Deployment, c.parts[i].pool, expected, now)
 	}
 	return waits
 }
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -112,6 +112,9 @@
 	// Correlator identifies calls that crash replicas.
 	Correlator *quarantiner.CrashCorrelator
 
+	// Deployment is the current state, which UpdateDeployment sets before the first call starts.
+	Deployment *wigeonspindle.DeploymentState
+
 	estimators map[string]wigeonspindle.LatencyEstimator
 	// FinishBy is when the host stops, which ends all calls; zero while the host does not stop.
 	FinishBy time.Time
@@ -123,9 +126,12 @@
 	callerTimeouts map[string]*callerTimeoutTracker
 }
 
-// StartCall starts a call of a route and returns its first step.
-func (g *Gatherer) StartCall(call *wigeonspindle.Call, route *wigeonspindle.Route, deployment *wigeonspindle.DeploymentState, now time.Time) (*CallState, Step) {
-	state := &CallState{Call: call, Route: route, Deployment: deployment, gatherer: g, fingerprints: quarantiner.Fingerprints(call)}
+// StartCall starts a call of a route and returns its first step. The call keeps the route, and with it the pools and
+// one configuration for the whole answer; each of its sends uses the replicas and failure domains of the time at which it is made.
+func (g *Gatherer) StartCall(call *wigeonspindle.Call, route *wigeonspindle.Route, now time.Time) (*CallState, Step) {
+	state := &CallState{
+		Call: call, Route: route, ConfigVersion: g.Deployment.Catalog.Version, gatherer: g, fingerprints: quarantiner.Fingerprints(call),
+	}
 	roundTrip := call.RoundTrip
 	if roundTrip == 0 {
 		roundTrip = defaultRoundTrip
@@ -267,12 +273,14 @@
 	return estimator
 }
 
-// UpdateDeployment accepts the suspicions of other hosts and drops the state of routes, pools
-// and replicas that no longer exist.
+// UpdateDeployment sets the current state, accepts the suspicions of other hosts and drops the state of routes, pools
+// and replicas that no longer exist. HandleDeployment is then called for each running call.
 func (g *Gatherer) UpdateDeployment(deployment *wigeonspindle.DeploymentState, known map[string]bool, now time.Time) {
 	if deployment.Catalog == nil {
 		return
 	}
+	deployment = withFormerPools(deployment, g.Deployment)
+	g.Deployment = deployment
 	routes := make(map[string]bool, len(deployment.Catalog.Routes))
 	for i := range deployment.Catalog.Routes {
 		routes[deployment.Catalog.Routes[i].Name] = true
@@ -287,3 +295,27 @@
 	g.Correlator.RetainTargets(known, now)
 	g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
 }
+
+// withFormerPools adds the pools of an earlier state that the configuration no longer names but that still have replicas.
+// Running calls may send to them, by the limits that hold for these replicas.
+func withFormerPools(deployment, earlier *wigeonspindle.DeploymentState) *wigeonspindle.DeploymentState {
+	if earlier == nil {
+		return deployment
+	}
+	pools := deployment.Catalog.Pools
+	for name, pool := range earlier.Catalog.Pools {
+		if _, ok := pools[name]; ok || len(deployment.Replicas[name]) == 0 {
+			continue
+		}
+		if len(pools) == len(deployment.Catalog.Pools) {
+			pools = maps.Clone(pools)
+		}
+		pools[name] = pool
+	}
+	if len(pools) == len(deployment.Catalog.Pools) {
+		return deployment
+	}
+	state, catalog := *deployment, *deployment.Catalog
+	catalog.Pools, state.Catalog = pools, &catalog
+	return &state
+}
--- a/internal/coordination/gatherer/gatherer_test.go
+++ b/internal/coordination/gatherer/gatherer_test.go
@@ -61,7 +61,8 @@
 
 func (h *harness) call(after time.Duration) (*gatherer.CallState, gatherer.Step) {
 	call := &wigeonspindle.Call{ID: "c", Arrived: at(after), CallerTimeout: time.Second}
-	return h.StartCall(call, h.route, h.deployment, at(after))
+	h.Deployment = h.deployment
+	return h.StartCall(call, h.route, at(after))
 }
 
 // part returns the result of a send that the replica answered.
@@ -346,10 +347,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(4)
 			first := &wigeonspindle.Call{ID: "u", Arrived: at(0), CallerTimeout: fullTimeout}
-			h.StartCall(first, h.route, h.deployment, at(0))
+			h.Deployment = h.deployment
+			h.StartCall(first, h.route, at(0))
 			call := test.call
 			call.ID, call.Arrived = "c", at(time.Second)
-			state, _ := h.StartCall(&call, h.route, h.deployment, call.Arrived)
+			state, _ := h.StartCall(&call, h.route, call.Arrived)
 			left := h.route.Aim - test.waited - call.RoundTrip
 			if got, want := state.SoftDeadline, call.Arrived.Add(left); !got.Before(want) {
 				t.Errorf("soft deadline: got %v after the call, want less than %v", got.Sub(call.Arrived), left)
--- a/internal/coordination/gatherer/overload_test.go
+++ b/internal/coordination/gatherer/overload_test.go
@@ -146,7 +146,8 @@
 		host := fleet[o.random.IntN(hosts)]
 		o.schedule(now, func(now time.Duration) {
 			call := &wigeonspindle.Call{ID: "c", Arrived: at(now), CallerTimeout: 1200 * time.Millisecond}
-			state, step := host.StartCall(call, host.route, host.deployment, at(now))
+			host.Deployment = host.deployment
+			state, step := host.StartCall(call, host.route, at(now))
 			o.execute(state, step, now, now)
 		})
 	}
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -19,6 +19,7 @@
 	possibleRuns     int // possibleRuns counts the replicas that may have run the call.
 	refusals         int
 	retryAt          time.Time // retryAt is when the part is sent again; zero when no retry is scheduled.
+	roundDelayEnd    time.Time // roundDelayEnd is the earliest start of the next round.
 	waitingForOther  bool      // waitingForOther reports that the retry waits for the retry of another part.
 	failed           bool
 	lastRefused      bool // lastRefused reports that the last failure was a refusal by a replica.
@@ -51,7 +52,7 @@
 // pickReplica chooses the replica for the next send of a part and takes a repeat from the budget if a
 // send of the part may have arrived. It reports false if the part cannot be sent.
 func (c *CallState) pickReplica(p *part, now time.Time) (*wigeonspindle.Replica, bool) {
-	replica, ok := c.gatherer.Selector.Pick(c.Deployment, p.pool, p.triedReplicas, c.expectedLatency(now), now)
+	replica, ok := c.gatherer.Selector.Pick(c.gatherer.Deployment, p.pool, p.triedReplicas, c.expectedLatency(now), now)
 	if !ok || p.sendCount > 0 && !c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
 		return nil, false
 	}
@@ -135,12 +136,19 @@
 // nextRound returns when a part that all usable replicas have refused or failed is sent to them again. It
 // reports false if none of them may take it in time.
 func (c *CallState) nextRound(p *part, now time.Time) (time.Time, bool) {
-	if !p.lastRefused && !c.gatherer.Selector.HasUsableReplica(c.Deployment, p.pool, c.expectedLatency(now), now) {
+	if !p.lastRefused && !c.gatherer.Selector.HasUsableReplica(c.gatherer.Deployment, p.pool, c.expectedLatency(now), now) {
 		return time.Time{}, false
 	}
-	retryAt := now.Add(initialRetryDelay << p.refusals)
+	p.roundDelayEnd = now.Add(initialRetryDelay << p.refusals)
 	p.refusals++
-	available, ok := c.gatherer.Selector.AvailableAt(c.Deployment, p.pool, now)
+	return c.nextRoundAt(p, now)
+}
+
+// nextRoundAt returns when the next round of a part starts: when a replica takes calls, but not before
+// roundDelayEnd. It reports false if that is too late.
+func (c *CallState) nextRoundAt(p *part, now time.Time) (time.Time, bool) {
+	retryAt := p.roundDelayEnd
+	available, ok := c.gatherer.Selector.AvailableAt(c.gatherer.Deployment, p.pool, now)
 	if available.After(retryAt) {
 		retryAt = available
 	}
@@ -190,9 +198,9 @@
 // share of this host.
 func (c *CallState) budgetShareCount() int {
 	if !c.gatherer.Standby {
-		return len(c.Deployment.ServingPeers)
+		return len(c.gatherer.Deployment.ServingPeers)
 	}
-	return standbySlackDivisor * max(len(c.Deployment.Peers)-len(c.Deployment.ServingPeers), 1)
+	return standbySlackDivisor * max(len(c.gatherer.Deployment.Peers)-len(c.gatherer.Deployment.ServingPeers), 1)
 }
 
 // overloadSignal rates the result of a send from 0 for an answer in time to 1 for a refusal or a
@@ -210,7 +218,7 @@
 
 // allReplicasTried reports whether a part has been sent to all usable replicas.
 func (c *CallState) allReplicasTried(p *part, now time.Time) bool {
-	_, ok := c.gatherer.Selector.Pick(c.Deployment, p.pool, p.triedReplicas, c.expectedLatency(now), now)
+	_, ok := c.gatherer.Selector.Pick(c.gatherer.Deployment, p.pool, p.triedReplicas, c.expectedLatency(now), now)
 	return !ok
 }
 
--- a/internal/coordination/gatherer/reply.go
+++ b/internal/coordination/gatherer/reply.go
@@ -66,7 +66,7 @@
 func (c *CallState) timeUntilAvailable(now time.Time) time.Duration {
 	var waits []time.Duration
 	for i := range c.parts {
-		if at, ok := c.gatherer.Selector.AvailableAt(c.Deployment, c.parts[i].pool, now); ok {
+		if at, ok := c.gatherer.Selector.AvailableAt(c.gatherer.Deployment, c.parts[i].pool, now); ok {
 			waits = append(waits, at.Sub(now))
 		}
 	}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -220,11 +221,31 @@
 	d.pool.CloseAfterUse, d.Gatherer.Standby = !d.serving, !d.serving
 	d.pool.RetainReplicas(replicaIDs)
 	maps.DeleteFunc(d.unreachable, func(id string, _ bool) bool { return !replicaIDs[id] })
+	d.updateRunning(now)
 	if d.serving && deployment.Catalog != nil {
 		d.preconnect(deployment)
 	}
 }
 
+// updateRunning applies the deployment state to the running calls: sends that wait for a connection to a replica which
+// no longer accepts work go elsewhere, and parts that wait for a replica reconsider when to send.
+func (d *Dispatcher) updateRunning(now time.Time) {
+	if d.pool.HasWaiting() {
+		accepting := make(map[string]bool)
+		for _, replicas := range d.deployment.Replicas {
+			for _, replica := range replicas {
+				accepting[replica.ID] = replica.AcceptsWork(d.deployment.OutDomains)
+			}
+		}
+		d.pool.WithdrawExcept(accepting)
+	}
+	for _, p := range slices.Collect(maps.Keys(d.running)) {
+		if step, changed := p.state.HandleDeployment(now); changed {
+			d.execute(p, step, now)
+		}
+	}
+}
+
 // preconnect opens a connection to each replica in the pools of the routes, so that calls need
 // not wait for one.
 func (d *Dispatcher) preconnect(deployment *wigeonspindle.DeploymentState) {
@@ -258,7 +279,7 @@
 		d.reply(p, reply, now)
 		return
 	}
-	state, step := d.Gatherer.StartCall(p.call, p.route, d.deployment, now)
+	state, step := d.Gatherer.StartCall(p.call, p.route, now)
 	p.state = state
 	d.running[p] = true
 	d.execute(p, step, now)
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -54,7 +54,7 @@
 	}
 	if p.state != nil {
 		answered, total := p.state.Coverage()
-		fields = append(fields, "config_version", p.state.Deployment.Catalog.Version, "parts_answered", answered, "parts_total", total,
+		fields = append(fields, "config_version", p.state.ConfigVersion, "parts_answered", answered, "parts_total", total,
 			"sends", p.state.SendCount(), "hedges", p.state.Hedges, "retries", p.state.Retries, "parts_skipped", p.state.SkippedParts)
 		d.Meter.ObserveCoverage(route, answered, total)
 	}
--- a/internal/transport/dispatcher/sends.go
+++ b/internal/transport/dispatcher/sends.go
@@ -69,7 +69,7 @@
 	if !d.serving {
 		return standbyConnections
 	}
-	pool := d.deployment.Catalog.Pools[replica.Pool]
+	pool := d.Gatherer.Deployment.Catalog.Pools[replica.Pool]
 	return max(int(connectionShare*float64(pool.Connections)/float64(max(len(d.deployment.ServingPeers), 1))), 1)
 }
 
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -400,3 +400,26 @@
 		t.Error("dial of the crashed replica: got accepted, want refused")
 	}
 }
+
+// TestWithdrawExcept guards against a request that is sent to a replica which no longer accepts work, because it was
+// waiting for a connection to it.
+func TestWithdrawExcept(t *testing.T) {
+	target := newTarget(t, func(path string) (string, bool) { return answer(path, ""), false })
+	h := newHarness(t, target.listener.Addr().String())
+	h.send("kept", 4)
+	h.pool.WithdrawExcept(map[string]bool{"r": true})
+	h.wait(t, "kept")
+	h.send("held", 1) // It takes the open connection, so the next ones wait for others.
+	h.send("waiting", 4)
+	h.pool.WithdrawExcept(map[string]bool{"other": true})
+	got, ok := h.results["waiting"]
+	if !ok || got.Verdict != wigeonspindle.NotRun || got.Sent {
+		t.Errorf("waiting request: got %+v, want an unsent one that has not run", got)
+	}
+	if got, want := h.wait(t, "held").Verdict, wigeonspindle.Ran; got != want {
+		t.Errorf("request that was sent before: got %v, want %v", got, want)
+	}
+	if got, want := target.requests.Load(), int32(2); got != want {
+		t.Errorf("requests: got %d, want %d", got, want)
+	}
+}
--- a/internal/transport/exchanger/waiting.go
+++ b/internal/transport/exchanger/waiting.go
@@ -52,6 +52,29 @@
 	}
 }
 
+// HasWaiting reports whether any job waits for a connection.
+func (p *Pool) HasWaiting() bool {
+	for _, r := range p.replicas {
+		if len(r.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// WithdrawExcept withdraws the jobs that wait for a connection to any other replica than those given.
+func (p *Pool) WithdrawExcept(accepting map[string]bool) {
+	var replicas []string
+	for id, r := range p.replicas {
+		if len(r.waiting) > 0 && !accepting[id] {
+			replicas = append(replicas, id)
+		}
+	}
+	for _, id := range replicas {
+		p.Withdraw(id)
+	}
+}
+
 // DialPatience returns how long a job should wait for a connection before another replica is tried: several
 // times the usual time in which replicas accept one.
 func (p *Pool) DialPatience() time.Duration {
