follower: bound the time until a change is in force, whatever relays do

A relay that had lost the registry could not be told from an outage, in which hosts must not ask it.

Ruled out: a registry that answers late (asked at 7.25 s, in force at 7.27 s). Only the order "stale, then unreachable" is not the cause: three relays that all lost the registry were as late (3.1 to 4.0 s).

Relays answer waiting hosts when their state grows old or the registry has answered; reads from relays end by the age of the host's state. A host asks the registry itself if that has answered a renewal of its lease, brought forward once, later than its relays should have been answered. Of a large fleet a bounded number of hosts does so first.

The fleet of the tests now ends reads at the source's time-out and relays polls as the product does; its bounds are as they were.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -1,7 +1,8 @@
 // Package follower decides from where a host reads the state of the registry: from the registry itself, from a
 // relay, which is another host that passes the state on, or from nowhere for a moment. The load pattern it
 // answers is an outage of the registry with hundreds of hosts: only the relays go on asking it, so that the
-// calls to it grow with the number of failure domains and not with the number of hosts.
+// calls to it grow with the number of failure domains and not with the number of hosts. Relays that have lost the
+// registry while it answers others are told from an outage by the calls that each host makes to it anyway.
 package follower
 
 import (
@@ -32,9 +33,6 @@
 	// relays again. An attempt that is not answered takes more than a second.
 	maxUnreachable = 2
 	cutOffPeriod   = 10 * time.Second
-	// urgentAge is the age of the state from which a host asks the registry itself after one relay that cannot be
-	// reached: another one would take more than a second, and the tightest limit for acting on a change is 3 s.
-	urgentAge = 2 * time.Second
 	// detourFailures is the number of failed calls in a row after which a relay looks for another
 	// relay, because the registry may turn away this host only.
 	detourFailures = 2
@@ -48,6 +46,11 @@
 	Relay *wigeonspindle.Peer
 	// Wait is set when there is no source: the time until the next choice.
 	Wait time.Duration
+	// Timeout bounds a read from a relay, which may wait for a change until RelayPatience before it.
+	Timeout time.Duration
+	// Check asks for a call to the registry that shows whether it answers this host, such as the renewal of a lease
+	// that is due soon. RecordAnswer is called if it does.
+	Check bool
 }
 
 // Follower holds what a host has observed of its sources. It is not safe for concurrent use.
@@ -65,7 +68,11 @@
 	escalatedUntil   time.Time
 	backoffs         map[string]backoff
 	current          string    // current is the name of the followed relay.
-	registryFailures int       // registryFailures counts failed calls to the registry in a row.
+	registryFailures int       // registryFailures counts failed reads of the registry in a row.
+	failedAt         time.Time // failedAt is when a read of the registry last failed.
+	answeredAt       time.Time // answeredAt is when the registry last answered any call of this host.
+	checkedSeen      time.Time // checkedSeen is the age of the state, as a time, for which a check was last asked.
+	checkedAt        time.Time // checkedAt is when it was asked.
 	unreachable      int       // unreachable counts the relays in a row that could not be reached.
 	cutOffUntil      time.Time // cutOffUntil is until when the registry is asked because the relays cannot be reached.
 	directAt         time.Time // directAt is when the registry may be asked directly, or asked again after a detour.
@@ -92,7 +99,7 @@
 		held := f.backoffs[relays[i].Name]
 		if !now.Before(held.until) {
 			if relays[i].Name == f.current {
-				return Source{Relay: &relays[i]}
+				return Source{Relay: &relays[i], Timeout: relayTimeout(seen, now)}
 			}
 			if first == nil {
 				first = &relays[i]
@@ -104,14 +111,19 @@
 			next = held.until
 		}
 	}
-	urgent := f.unreachable > 0 && !seen.IsZero() && now.Sub(seen) > urgentAge
+	old := !seen.IsZero() && now.Sub(seen) >= MaxAge
+	check := old && f.startCheck(seen, now)
 	switch {
-	case (unsettled || urgent) && f.registryFailures == 0:
-		return Source{} // The registry has not failed to answer this host.
+	case unsettled && f.registryAnswers():
+		return Source{}
+	case old && f.answersBeyond(seen) && (first == nil || now.Sub(seen) >= DirectAge):
+		return f.chooseWithoutRelays(peers, seen, now)
 	case first != nil:
-		return Source{Relay: first}
+		return Source{Relay: first, Timeout: relayTimeout(seen, now), Check: check}
 	case isRelay || !stale:
 		return Source{} // No other host can tell.
+	case old && now.Sub(f.checkedAt) < RelayPatience:
+		return Source{Wait: checkInterval, Check: check}
 	case !now.Before(f.directAt):
 		f.directAt = now.Add(directInterval)
 		return Source{}
@@ -119,6 +131,58 @@
 	return Source{Wait: next.Sub(now)}
 }
 
+// chooseWithoutRelays returns the source of a host that the registry answers while its relays have lost it or cannot be
+// reached. The hosts that are relays after all escalations ask it at once. The others give these a moment to do so, and
+// then ask it themselves.
+func (f *Follower) chooseWithoutRelays(peers []wigeonspindle.Peer, seen, now time.Time) Source {
+	f.escalated, f.escalatedUntil = maxEscalations, now.Add(escalationPeriod)
+	relays, isRelay := f.relays(peers, maxEscalations)
+	left := min(seen.Add(lastRelayAge).Sub(now), RelayPatience)
+	if isRelay || left < checkInterval {
+		return Source{}
+	}
+	for i := range relays {
+		held := f.backoffs[relays[i].Name]
+		if !now.Before(held.until) || held.stale && held.until.Sub(now) <= staleBackoff-staleRetry {
+			return Source{Relay: &relays[i], Timeout: left}
+		}
+	}
+	return Source{Wait: checkInterval}
+}
+
+// relayTimeout returns how long a read from a relay may take: until the state of this host has MaxAge, and
+// RelayPatience more.
+func relayTimeout(seen, now time.Time) time.Duration {
+	return max(MaxAge-now.Sub(seen), 0) + RelayPatience
+}
+
+// startCheck reports whether to find out if the registry answers this host: once for each state that has grown old.
+func (f *Follower) startCheck(seen, now time.Time) bool {
+	if f.checkedSeen.Equal(seen) {
+		return false
+	}
+	f.checkedSeen, f.checkedAt = seen, now
+	return true
+}
+
+// registryAnswers reports whether the registry has answered this host since a read of it last failed.
+func (f *Follower) registryAnswers() bool {
+	return f.registryFailures == 0 || f.answeredAt.After(f.failedAt)
+}
+
+// answersBeyond reports whether the registry has answered this host at a time when the relays should have had newer state: when an
+// outage begins, no host has such an answer.
+func (f *Follower) answersBeyond(seen time.Time) bool {
+	return f.answeredAt.Sub(seen) >= MaxAge && f.registryAnswers()
+}
+
+// RecordAnswer records that the registry has answered a call of this host.
+func (f *Follower) RecordAnswer(at time.Time) {
+	if at.After(f.answeredAt) {
+		f.answeredAt = at
+	}
+}
+
 // detours reports whether a relay looks for another one.
 func (f *Follower) detours(now time.Time) bool {
 	return f.registryFailures >= detourFailures && (f.current == "" || now.Before(f.directAt))
@@ -151,6 +215,7 @@
 func (f *Follower) RecordRead(source Source, now time.Time) {
 	if source.Relay == nil {
 		f.current, f.registryFailures = "", 0
+		f.RecordAnswer(now)
 		return
 	}
 	f.unreachable = 0
@@ -169,6 +234,7 @@
 	f.current = ""
 	if source.Relay == nil {
 		f.registryFailures++
+		f.failedAt = now
 		f.directAt = now.Add(directInterval)
 		f.unreachable = 0 // The relays are tried again.
 		return
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -15,9 +15,6 @@
 
 var errUnreachable = errors.New("unreachable")
 
-// unreachableTimeout is how long a read from a host that does not answer takes.
-const unreachableTimeout = 1200 * time.Millisecond
-
 // newPeers returns hosts spread over failure domains, one strong host in each.
 func newPeers(count, domains int) []wigeonspindle.Peer {
 	peers := make([]wigeonspindle.Peer, count)
@@ -40,6 +37,8 @@
 	// be reached by others.
 	refused     func(host int, now time.Time) bool
 	unreachable func(host int, now time.Time) bool
+	// apart reports whether two hosts cannot reach each other.
+	apart func(host, relay int, now time.Time) bool
 	// unsettled reports whether a host has no state for those that have not followed it before.
 	unsettled func(host int, now time.Time) bool
 	current   []string // current is the relay that each host has read from last.
@@ -55,12 +54,19 @@
 	}
 	f.refused = func(int, time.Time) bool { return false }
 	f.unreachable, f.unsettled = f.refused, f.refused
+	f.apart = func(int, int, time.Time) bool { return false }
 	return f
 }
 
-// play plays the fleet for a period in steps of 10 ms.
+// relayInterval is the pause between two reads from a relay.
+const relayInterval = 50 * time.Millisecond
+
+// playStep is the step in which a fleet is played.
+const playStep = 10 * time.Millisecond
+
+// play plays the fleet for a period.
 func (f *fleet) play(from, to time.Duration) {
-	for now := start.Add(from); now.Before(start.Add(to)); now = now.Add(10 * time.Millisecond) {
+	for now := start.Add(from); now.Before(start.Add(to)); now = now.Add(playStep) {
 		for i := range f.followers {
 			if !now.Before(f.next[i]) {
 				f.next[i] = now.Add(f.step(i, now))
@@ -72,6 +78,9 @@
 // step makes one read of a host and returns the time until its next one.
 func (f *fleet) step(host int, now time.Time) time.Duration {
 	source := f.followers[host].Choose(f.peers, f.seen[host], now)
+	if source.Check && !f.refused(host, now) {
+		f.followers[host].RecordAnswer(now)
+	}
 	if source.Wait > 0 {
 		return source.Wait
 	}
@@ -83,32 +92,28 @@
 		}
 		f.followers[host].RecordRead(source, now)
 		f.seen[host] = now
-		return time.Second
+		return follower.PollInterval + follower.RegistryWait
 	}
 	var relay int
 	_, _ = fmt.Sscanf(source.Relay.Name, "h%d", &relay) // All names have this form.
 	var err error
 	switch {
-	case f.unreachable(relay, now):
-		err = errUnreachable
-	case now.Sub(f.seen[relay]) > 2*time.Second:
+	case f.unreachable(relay, now) || f.apart(host, relay, now):
+		f.followers[host].RecordFailure(source, errUnreachable, now.Add(source.Timeout))
+		return source.Timeout
+	case now.Sub(f.seen[relay]) >= follower.MaxAge:
 		err = wigeonspindle.ErrStale
 	case f.unsettled(relay, now) && f.current[host] != source.Relay.Name:
 		err = wigeonspindle.ErrUnsettled
 	}
 	if err != nil {
-		if errors.Is(err, errUnreachable) {
-			now = now.Add(unreachableTimeout)
-			f.followers[host].RecordFailure(source, err, now)
-			return unreachableTimeout
-		}
 		f.followers[host].RecordFailure(source, err, now)
-		return 10 * time.Millisecond
+		return playStep
 	}
 	f.followers[host].RecordRead(source, now)
 	f.current[host] = source.Relay.Name
 	f.seen[host] = f.seen[relay]
-	return 500 * time.Millisecond
+	return relayInterval
 }
 
 // oldest returns the age of the oldest state among the hosts for which include is true.
@@ -241,3 +246,97 @@
 		}
 	}
 }
+
+// Behaviours of a relay.
+const (
+	working  = iota
+	cutOff   // cutOff relays answer hosts but have lost the registry.
+	silent   // silent relays answer nobody.
+	bridged  // bridged relays can't be reached from one half of the hosts.
+	variants // variants is the number of behaviours.
+)
+
+// applyLimit is the tightest limit for acting on a change of the registry.
+const applyLimit = 3 * time.Second
+
+// TestChangeReachesHosts guards against hosts that act on a change of the registry too late, although it answers them,
+// because of what their relay, the next one and the one after do.
+func TestChangeReachesHosts(t *testing.T) {
+	if got := follower.MaxAge + 2*follower.RelayPatience + follower.ListAllowance; got >= applyLimit {
+		t.Errorf("sum of the times from a change until it is in force: got %v, want less than %v", got, applyLimit)
+	}
+	for _, test := range []struct {
+		name           string
+		hosts, domains int
+		relays         int // relays is the number of relays that vary.
+		phases         int // phases is the number of moments at which they change their behaviour.
+	}{
+		{"small fleet, three domains", 15, 3, 3, 8},
+		{"small fleet, four domains", 12, 4, 3, 4},
+		{"large fleet", 60, 6, 3, 1}, // Hosts beyond all escalations exist.
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			combinations := 1
+			for range test.relays {
+				combinations *= variants
+			}
+			for combination := range combinations {
+				behaviours := make([]int, test.hosts)
+				for i, left := 0, combination; i < test.relays; i, left = i+1, left/variants {
+					behaviours[i] = left % variants
+				}
+				for phase := range test.phases {
+					at := 2*time.Second + time.Duration(phase)*(follower.PollInterval+follower.RegistryWait)/time.Duration(test.phases)
+					if age, host := oldestAfter(test.hosts, test.domains, behaviours, at); age+follower.ListAllowance >= applyLimit {
+						t.Errorf("relays %v from %v on: state of host %d was %v old and took up to %v more to renew, want less than %v in all",
+							behaviours[:test.relays], at, host, age, follower.ListAllowance, applyLimit)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestChangeReachesReturningRelay guards against a relay that looked for another one while the registry turned it away, and that acts
+// late on a change after the registry answers it again and the other relays do not answer.
+func TestChangeReachesReturningRelay(t *testing.T) {
+	const refused, returns = 3 * time.Second, 7 * time.Second
+	f := newFleet(15, 3)
+	f.play(0, refused)
+	f.refused = func(host int, now time.Time) bool { return host == 0 && now.Before(start.Add(returns)) }
+	f.play(refused, returns)
+	if f.current[0] == "" {
+		t.Fatal("relay that is turned away: got no other relay, want one")
+	}
+	f.unreachable = func(host int, _ time.Time) bool { return host == 1 || host == 2 }
+	for after := returns; after < returns+4*time.Second; after += playStep {
+		f.play(after, after+playStep)
+		if age := start.Add(after).Sub(f.seen[0]); age+follower.ListAllowance >= applyLimit {
+			t.Fatalf("age of its state %v after it is served again: got %v, want less than %v", after-returns, age, applyLimit-follower.ListAllowance)
+		}
+	}
+}
+
+// oldestAfter plays a fleet whose relays change their behaviour at a time, and returns the greatest age of the state of a host that
+// the registry answers.
+func oldestAfter(hosts, domains int, behaviours []int, at time.Duration) (oldest time.Duration, host int) {
+	f := newFleet(hosts, domains)
+	f.play(0, at)
+	f.refused = func(host int, _ time.Time) bool { return behaviours[host] == cutOff }
+	f.unreachable = func(host int, _ time.Time) bool { return behaviours[host] == silent }
+	f.apart = func(host, relay int, _ time.Time) bool { return behaviours[relay] == bridged && host%2 == 0 }
+	for i, behaviour := range behaviours {
+		if behaviour == silent {
+			f.next[i] = start.Add(time.Hour)
+		}
+	}
+	for after := at; after < at+3*time.Second; after += playStep {
+		f.play(after, after+playStep)
+		for i := range f.seen {
+			if age := start.Add(after).Sub(f.seen[i]); behaviours[i] != cutOff && behaviours[i] != silent && age > oldest {
+				oldest, host = age, i
+			}
+		}
+	}
+	return oldest, host
+}
--- a/internal/state/registrar/changes.go
+++ b/internal/state/registrar/changes.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// NextAnswer returns a channel that is closed at the next answer of the registry, with or without changes.
+func (r *Registrar) NextAnswer() <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.nextAnswer == nil {
+		r.nextAnswer = make(chan struct{})
+	}
+	return r.nextAnswer
+}
+
+// signalAnswer wakes the goroutines that wait for an answer.
+func (r *Registrar) signalAnswer() {
+	if r.nextAnswer != nil {
+		close(r.nextAnswer)
+		r.nextAnswer = nil
+	}
+}
+
 // Diff returns the updates that turn one state into another. It omits reports of a replica
 // that differ only in their sequence.
 func Diff(before, after *wigeonspindle.DeploymentState) []wigeonspindle.RegistryUpdate {
--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -45,6 +45,7 @@
 	changes     []change // changes holds the latest differences between states.
 	position    uint64   // position is the number of differences so far.
 	nextChange  chan struct{}
+	nextAnswer  chan struct{}
 }
 
 type replicaEntry struct {
@@ -358,6 +359,7 @@
 	}
 	r.recordChanges(Diff(r.State(), state))
 	r.state.Store(state)
+	r.signalAnswer()
 	return state
 }
 
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -16,15 +16,13 @@
 	"storj.io/drpc/drpcserver"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/converter"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/messenger"
 	"wigeonspindle.example/wigeonspindle/internal/state/registrar"
 )
 
 const (
-	// MaxAge is the age above which state is neither passed on nor used. With a poll interval of
-	// 1 s, one answer of the registry may be missed.
-	MaxAge = 2 * time.Second
 	// maxWait bounds how long a request waits for a change.
 	maxWait = 10 * time.Second
 	// maxFollowers bounds the connections from hosts that follow this one.
@@ -107,7 +105,7 @@
 	now := s.Clock.Now()
 	age := now.Sub(s.Registrar.State().RegistrySeen)
 	switch {
-	case age > MaxAge || !s.Registrar.Available():
+	case age >= follower.MaxAge || !s.Registrar.Available():
 		return nil, encodeError(wigeonspindle.ErrStale)
 	case request.GetWhole() && !s.Registrar.Settled():
 		// The state may hold entries that a host with a newer one knows to be gone. Changes are passed on:
@@ -120,10 +118,13 @@
 	return reply, err
 }
 
-// waitForChanges returns the changes after a position and the position of the last one, waiting for
-// the first change. It returns false when the changes are no longer held.
+// waitForChanges returns the changes after a position and the position of the last one. It waits for the first change
+// or another answer of the registry, but only until the state is too old to be passed on. It returns false when the changes are
+// no longer held.
 func (s *Server) waitForChanges(ctx context.Context, after uint64, wait time.Duration) ([]wigeonspindle.RegistryUpdate, uint64, bool) {
-	timer := time.NewTimer(min(wait, maxWait))
+	answered := s.Registrar.NextAnswer()
+	untilOld := s.Registrar.State().RegistrySeen.Add(follower.MaxAge).Sub(s.Clock.Now())
+	timer := time.NewTimer(max(min(wait, maxWait, untilOld), 0))
 	defer timer.Stop()
 	for {
 		updates, position, available, next := s.Registrar.ChangesSince(after)
@@ -132,6 +133,9 @@
 		}
 		select {
 		case <-next:
+		case <-answered:
+			updates, position, available, _ = s.Registrar.ChangesSince(after)
+			return updates, position, available
 		case <-timer.C:
 			return nil, position, true
 		case <-ctx.Done():
--- a/internal/transport/sharer/sharer_test.go
+++ b/internal/transport/sharer/sharer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -131,3 +132,36 @@
 		t.Errorf("error after a restart: got %v, want %v", err, wigeonspindle.ErrCompacted)
 	}
 }
+
+// TestWaitEnds guards against a host that waits for a change at its relay although the registry has answered the relay
+// without changes, or although the relay has lost the registry: the host would take its state for older than it is, or use it for
+// too long.
+func TestWaitEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	r := &registrar.Registrar{}
+	server, address := newServer(t, r, "", 1)
+	defer server.Close()
+	client := &sharer.Client{Peer: wigeonspindle.Peer{Name: "relay", LinkAddress: address}, Clock: timekeeper.SystemClock{}}
+	defer client.Close()
+	r.Replace(wigeonspindle.RegistryBatch{Updates: updates()}, time.Now())
+	batch, err := client.List(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answering sync.WaitGroup
+	answering.Go(func() {
+		time.Sleep(50 * time.Millisecond)
+		r.Apply(wigeonspindle.RegistryBatch{}, time.Now())
+	})
+	started := time.Now()
+	batch, err = client.Follow(ctx, batch.Revision, waitTimeout)
+	answering.Wait()
+	if err != nil || len(batch.Updates) > 0 || time.Now().Add(-batch.Age).Before(started) {
+		t.Errorf("after an answer without changes: got %d updates of age %v and error %v, want none and the age of the answer", len(batch.Updates), batch.Age, err)
+	}
+	if _, err = client.Follow(ctx, batch.Revision, waitTimeout); !errors.Is(err, wigeonspindle.ErrStale) {
+		t.Errorf("when the registry no longer answers the relay: got %v, want %v", err, wigeonspindle.ErrStale)
+	}
+}
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -51,17 +51,20 @@
 	Down func() bool
 	// Serving reports whether callers are directed to this host.
 	Serving func() bool
+	// OnAnswer is called when the registry has answered.
+	OnAnswer func()
 
 	lease    uint64
 	short    bool // short reports that the lease has servingLeaseTTL.
 	failures int  // failures counts consecutive failed calls.
 	wakes    *queuer.Ring[struct{}]
+	checks   *queuer.Ring[struct{}]
 	worker
 }
 
 // Run starts the announcer.
 func (a *Announcer) Run() {
-	a.wakes = queuer.New[struct{}](1)
+	a.wakes, a.checks = queuer.New[struct{}](1), queuer.New[struct{}](1)
 	a.start(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			a.wait(ctx, a.step(ctx))
@@ -72,22 +75,34 @@
 // Wake ends the wait after a failure, because the registry answers again.
 func (a *Announcer) Wake() { a.wakes.Offer(struct{}{}) } // A wake that is queued already suffices.
 
-// wait waits until the next step. A wake shortens the wait after a failed call.
+// Check brings the next call forward to now, to find out whether the registry answers this host.
+func (a *Announcer) Check() { a.checks.Offer(struct{}{}) } // A check that is queued already suffices.
+
+// wait waits until the next step. A check ends the wait, and a wake shortens the wait after a failed call.
 func (a *Announcer) wait(ctx context.Context, duration time.Duration) {
+	wakes := a.wakes.C()
 	if a.failures == 0 {
-		sleep(ctx, duration)
-		return
+		wakes = nil
 	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-	case <-a.wakes.C():
+	case <-a.checks.C():
+	case <-wakes:
 		sleep(ctx, time.Duration(rand.Int64N(int64(wakeSpread))))
 	}
 }
 
+// recordAnswer records that the registry has answered.
+func (a *Announcer) recordAnswer() {
+	a.failures = 0
+	if a.OnAnswer != nil {
+		a.OnAnswer()
+	}
+}
+
 // retryDelay returns the time until the next attempt after a failed call.
 func (a *Announcer) retryDelay() time.Duration {
 	delay := min(renewRetryInterval<<min(a.failures, 8), maxRenewRetryInterval)
@@ -130,7 +145,7 @@
 	case err != nil:
 		return a.retryDelay()
 	}
-	a.failures = 0
+	a.recordAnswer()
 	return a.renewInterval()
 }
 
@@ -147,7 +162,8 @@
 		a.Logger.Warn("failed to register this host", "failures", a.failures, "error", err)
 		return a.retryDelay()
 	}
-	a.lease, a.short, a.failures = lease, short, 0
+	a.lease, a.short = lease, short
+	a.recordAnswer()
 	a.Logger.Info("registered this host", "lease_id", lease, "lease_ttl", ttl, "serving", short)
 	return a.renewInterval()
 }
--- a/internal/transport/watcher/announcer_test.go
+++ b/internal/transport/watcher/announcer_test.go
@@ -129,3 +129,36 @@
 		}
 	})
 }
+
+// TestAnnouncerCheck guards against a host that finds out late whether the registry answers it, and against calls in an
+// outage that are made only to find out.
+func TestAnnouncerCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := &leases{}
+		var answers atomic.Int32
+		a := &watcher.Announcer{
+			Registry: registry, Logger: log.New(io.Discard), Ready: func() bool { return true }, Serving: func() bool { return false },
+			OnAnswer: func() { answers.Add(1) },
+		}
+		a.Run()
+		defer a.Close()
+		time.Sleep(100 * time.Millisecond)
+		calls, before := registry.calls.Load(), answers.Load()
+		a.Check()
+		time.Sleep(10 * time.Millisecond)
+		if got, want := answers.Load()-before, int32(1); got != want {
+			t.Errorf("answers after a check: got %d, want %d", got, want)
+		}
+		time.Sleep(time.Second)
+		if got, want := registry.calls.Load()-calls, int32(1); got != want {
+			t.Errorf("calls in the second after a check: got %d, want %d, the renewal that was due", got, want)
+		}
+		registry.down.Store(true)
+		before = answers.Load()
+		a.Check()
+		time.Sleep(10 * time.Millisecond)
+		if got, want := answers.Load()-before, int32(0); got != want {
+			t.Errorf("answers of a registry that is down: got %d, want %d", got, want)
+		}
+	})
+}
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -17,27 +17,17 @@
 	"wigeonspindle.example/wigeonspindle/internal/transport/sharer"
 )
 
-// Intervals and timeouts of calls to the registry and to relays.
+// Intervals and timeouts of calls to the registry and to relays. Those that decide how soon a change is in force stand in
+// package follower.
 const (
-	// pollInterval is the time between two requests for changes. Replicas update the registry
-	// constantly, so a request as soon as there is a change would cost one call per change. The
-	// tightest limit for acting on a change is 3 s.
-	pollInterval = time.Second
-	// registryWait is how long one request to the registry waits for a change. Hosts that follow
-	// this one use its state only up to an age of 2 s.
-	registryWait = time.Second
 	// callTimeout bounds a call to the registry in addition to the wait; a slow registry takes
-	// 250 ms.
+	// 250 ms. A listing, which takes several calls, has listTimeout.
 	callTimeout = time.Second
+	listTimeout = 2 * time.Second
 	// retryInterval is the time until the first retry when the registry does not answer. It grows
 	// with each failure, up to maxRetryInterval.
 	retryInterval    = 400 * time.Millisecond
 	maxRetryInterval = time.Second
-	// relayWait is how long a request to a relay waits for a change, and relayTimeout bounds the
-	// call in addition to the wait. Together they leave time to switch to another source within
-	// the tightest limit for acting on a change.
-	relayWait    = 800 * time.Millisecond
-	relayTimeout = 400 * time.Millisecond
 	// relayInterval is the pause between requests to a relay. It limits the request rate when the
 	// state of the relay changes constantly.
 	relayInterval = 50 * time.Millisecond
@@ -62,6 +52,9 @@
 	OnChange func(deployment *wigeonspindle.DeploymentState)
 	// OnAvailable is called when the registry answers again, this host or a host that it follows.
 	OnAvailable func()
+	// OnCheck is called to have a call made to the registry that shows whether it answers this host. RecordAnswer is
+	// called if it does.
+	OnCheck func()
 	// OnRestored is called when the registry has come back from a copy, which may lack what this host has written.
 	OnRestored func()
 
@@ -70,18 +63,25 @@
 	// base is the relay from which the present state comes, or nil if it comes from the registry.
 	base             *sharer.Client
 	revision         uint64
-	era              uint64      // era is the latest one of the content; 0 when it is not known.
-	listed           bool        // listed reports that revision is one of base.
-	down             atomic.Bool // down reports that the registry answers neither this host nor those that it follows.
-	unavailableSince time.Time   // unavailableSince is when the registry stopped answering; zero while it answers.
-	faultLoggedAt    time.Time   // faultLoggedAt is when an invalid entry was last logged.
-	failures         int         // failures counts consecutive failed calls to the registry.
+	era              uint64                    // era is the latest one of the content; 0 when it is not known.
+	listed           bool                      // listed reports that revision is one of base.
+	down             atomic.Bool               // down reports that the registry answers neither this host nor those that it follows.
+	unavailableSince time.Time                 // unavailableSince is when the registry stopped answering; zero while it answers.
+	faultLoggedAt    time.Time                 // faultLoggedAt is when an invalid entry was last logged.
+	answeredAt       atomic.Pointer[time.Time] // answeredAt is when the registry last answered another call of this host.
+	failures         int                       // failures counts consecutive failed calls to the registry.
 	worker
 }
 
 // Down reports whether the registry answers neither this host nor the hosts that it follows.
 func (w *Watcher) Down() bool { return w.down.Load() }
 
+// RecordAnswer records that the registry has answered a call of this host that is not one of the watcher's.
+func (w *Watcher) RecordAnswer() {
+	now := w.Clock.Now()
+	w.answeredAt.Store(&now)
+}
+
 // Run starts the watcher.
 func (w *Watcher) Run() {
 	w.start(func(ctx context.Context) {
@@ -97,7 +97,13 @@
 func (w *Watcher) step(ctx context.Context) time.Duration {
 	started := w.Clock.Now()
 	state := w.Registrar.State()
+	if answeredAt := w.answeredAt.Load(); answeredAt != nil {
+		w.Follower.RecordAnswer(*answeredAt)
+	}
 	source := w.Follower.Choose(state.Peers, state.RegistrySeen, started)
+	if source.Check && w.OnCheck != nil {
+		w.OnCheck()
+	}
 	if source.Wait > 0 {
 		return source.Wait
 	}
@@ -125,7 +131,7 @@
 		return relayInterval
 	}
 	w.markAvailable(now)
-	return max(pollInterval-now.Sub(started), 0)
+	return max(follower.PollInterval-now.Sub(started), 0)
 }
 
 // setSource changes the source.
@@ -180,11 +186,14 @@
 
 func (w *Watcher) fetch(ctx context.Context) (wigeonspindle.RegistryBatch, error) {
 	var source wigeonspindle.RegistryReader = w.Registry
-	wait, timeout := registryWait, callTimeout
-	if w.relay != nil {
-		source, wait, timeout = w.relay, relayWait, relayTimeout
+	wait, timeout := follower.RegistryWait, follower.RegistryWait+callTimeout
+	switch {
+	case w.relay != nil:
+		source, wait, timeout = w.relay, w.source.Timeout-follower.RelayPatience, w.source.Timeout
+	case !w.continues():
+		timeout = listTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var batch wigeonspindle.RegistryBatch
 	var err error
@@ -193,7 +202,7 @@
 	} else {
 		batch, err = source.List(ctx)
 	}
-	if err == nil && (batch.Age > sharer.MaxAge || batch.Era != 0 && batch.Era < w.era) {
+	if err == nil && (batch.Age > follower.MaxAge || batch.Era != 0 && batch.Era < w.era) {
 		err = wigeonspindle.ErrStale // A relay with content of an earlier era has not read the registry since.
 	}
 	return batch, err
--- a/internal/transport/watcher/watcher_test.go
+++ b/internal/transport/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -155,6 +156,49 @@
 	}
 }
 
+// TestRegistryAfterLostRelays guards against a host that goes on trying relays after its own has lost the registry and the
+// next one does not answer, although the registry answers the host.
+func TestRegistryAfterLostRelays(t *testing.T) {
+	lost := &registrar.Registrar{}
+	lost.Replace(wigeonspindle.RegistryBatch{Updates: []wigeonspindle.RegistryUpdate{
+		{Subject: wigeonspindle.SubjectReplica, Name: "live", Replica: &wigeonspindle.Replica{ID: "live", Pool: "p"}},
+	}}, time.Now()) // Its last answer of the registry.
+	server := &sharer.Server{Address: simulator.ReservedAddress(), Registrar: lost, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), Epoch: 1}
+	if err := server.Run(); err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	first := wigeonspindle.Peer{Name: "lost", LinkAddress: server.Address}
+	silent, err := net.Listen("tcp", simulator.ReservedAddress()) // It accepts connections and answers nothing.
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	second := wigeonspindle.Peer{Name: "silent", LinkAddress: silent.Addr().String()}
+	known, registry := &registrar.Registrar{RecoveryGrace: time.Hour}, &emptyRegistry{}
+	w := &watcher.Watcher{
+		Registry: registry, Registrar: known, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), OnChange: func(*wigeonspindle.DeploymentState) {},
+		Follower: &follower.Follower{SelectRelays: func([]wigeonspindle.Peer, wigeonspindle.Peer, int) ([]wigeonspindle.Peer, bool) {
+			return []wigeonspindle.Peer{first, second}, false
+		}},
+	}
+	var checks atomic.Int32
+	w.OnCheck = func() {
+		checks.Add(1)
+		w.RecordAnswer()
+	}
+	w.Run()
+	defer w.Close()
+	waitUntil(t, "state of the first relay", func() bool { return len(known.State().Replicas["p"]) == 1 })
+	if got, want := registry.lists.Load(), int32(0); got != want {
+		t.Errorf("listings of the registry while the relay works: got %d, want %d", got, want)
+	}
+	waitUntil(t, "listing of the registry", func() bool { return registry.lists.Load() > 0 })
+	if got, want := checks.Load(), int32(1); got != want {
+		t.Errorf("checks whether the registry answers: got %d, want %d", got, want)
+	}
+}
+
 // waitUntil waits until a condition holds, at most for waitTimeout.
 func waitUntil(t *testing.T, description string, condition func() bool) {
 	t.Helper()
