exchanger, recorder: bound the texts of errors and log lines

A replica that sends a malformed line of 60 KB, which does end, could use up the memory of a host: net/http quotes the line in its error, four bytes for one, the error is logged for each failed send, and the queue of the log writer was bounded in lines only (1,024 of up to 246 KB). Not played with real processes.

An error about a malformed response now has at most 512 bytes of that text, and a log line at most 4 KB. The same bound holds for the IDs of calls, which callers choose.

--- a/internal/state/recorder/writer.go
+++ b/internal/state/recorder/writer.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,9 @@
 	ringCapacity = 1024
 	// burstLines is the capacity of the token bucket that limits the rate.
 	burstLines = 400
+	// maxLineBytes bounds a line, and with ringCapacity the memory of the queue. Lines contain texts from outside, such
+	// as the IDs of calls.
+	maxLineBytes = 4 << 10
 )
 
 // LogWriter writes log lines asynchronously, so that logging never blocks the caller. Lines
@@ -63,14 +67,42 @@
 	w.running.Wait()
 }
 
-// Write queues one line. It never blocks and never returns an error.
+// Write queues one line, of which it cuts off what exceeds maxLineBytes. It never blocks and never returns an error.
 func (w *LogWriter) Write(line []byte) (int, error) {
-	if !w.takeToken() || !w.lines.Offer(append([]byte(nil), line...)) {
+	if !w.takeToken() || !w.lines.Offer(boundLine(line)) {
 		w.unreported.Add(1)
 	}
 	return len(line), nil
 }
 
+// boundLine returns a copy of a line that has at most maxLineBytes.
+func boundLine(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	end := fmt.Sprintf(" line_bytes=%d line_truncated=true\n", len(line))
+	kept := bytes.TrimRight(line[:maxLineBytes-len(end)-1], "\\") // A backslash would escape the quote that follows.
+	bounded := append(make([]byte, 0, maxLineBytes), kept...)
+	if endsInQuotes(kept) {
+		bounded = append(bounded, '"')
+	}
+	return append(bounded, end...)
+}
+
+// endsInQuotes reports whether the end of a text lies inside a quoted value.
+func endsInQuotes(text []byte) bool {
+	quoted := false
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++ // The next character is escaped.
+		case '"':
+			quoted = !quoted
+		}
+	}
+	return quoted
+}
+
 // UnreportedDrops returns the number of dropped lines that have not been logged yet.
 func (w *LogWriter) UnreportedDrops() int64 { return w.unreported.Load() }
 
--- a/internal/state/recorder/writer_test.go
+++ b/internal/state/recorder/writer_test.go
@@ -1,6 +1,7 @@
 package recorder_test
 
 import (
+	"bytes"
 	"regexp"
 	"runtime"
 	"strconv"
@@ -111,3 +112,27 @@
 	}
 	return strings.Count(text, "line\n"), dropped
 }
+
+// TestLongLines guards against a queue of log lines that uses up the memory of a host because the lines contain long texts
+// from outside.
+func TestLongLines(t *testing.T) {
+	out := &bytes.Buffer{}
+	w := &recorder.LogWriter{Out: out, Clock: &clock{now: start}, LinesPerSecond: 1}
+	w.Run()
+	value := strings.Repeat("x", 60<<10)
+	for _, line := range []string{"level=info call=" + value + "\n", "level=info call=\"" + value + "\"\n", "level=info msg=short\n"} {
+		if n, err := w.Write([]byte(line)); n != len(line) || err != nil {
+			t.Errorf("write: got %d and %v, want %d and no error", n, err, len(line))
+		}
+	}
+	w.Close()
+	lines := strings.Split(strings.TrimSuffix(out.String(), "\n"), "\n")
+	if len(lines) != 3 || lines[2] != "level=info msg=short" {
+		t.Fatalf("lines: got %d, want two long ones and the short one", len(lines))
+	}
+	for i, want := range []string{"x line_bytes=61457 line_truncated=true", "x\" line_bytes=61459 line_truncated=true"} {
+		if got, most := len(lines[i]), 4<<10; got > most || !strings.HasSuffix(lines[i], want) {
+			t.Errorf("long line: got %d bytes that end with %q, want at most %d that end with %q", got, lines[i][max(got-60, 0):], most, want)
+		}
+	}
+}
--- a/internal/transport/exchanger/body_test.go
+++ b/internal/transport/exchanger/body_test.go
@@ -152,3 +152,26 @@
 		})
 	}
 }
+
+// TestLongErrors guards against error texts that quote a malformed response whole: they are logged for each send and
+// would fill the memory of the log's queue.
+func TestLongErrors(t *testing.T) {
+	const most = 1024
+	for name, text := range map[string]string{
+		"status line":  strings.Repeat("\x00", 60<<10) + "\r\n\r\n",
+		"header field": "HTTP/1.1 200 OK\r\n" + strings.Repeat("\x01", 60<<10) + "\r\n\r\n",
+		"chunk length": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("x", 60<<10) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newTarget(t, func(string) (string, bool) { return text, true })
+			h := newHarness(t, server.listener.Addr().String())
+			h.send("call", 1)
+			if got := h.wait(t, "call"); got.Code != wigeonspindle.CodeBroken {
+				t.Errorf("malformed response: got %+v, want a broken exchange", got)
+			}
+			if err := h.errs["call"]; err == nil || len(err.Error()) > most {
+				t.Errorf("text of the error: got %d bytes, want 1 to %d", len(err.Error()), most)
+			}
+		})
+	}
+}
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -37,6 +37,8 @@
 	// idleMargin is subtracted from the idle timeout that a replica states, because a request
 	// takes time to reach the replica.
 	idleMargin = time.Second
+	// maxErrorBytes bounds the text of an error about a malformed response, which quotes it. Errors are logged.
+	maxErrorBytes = 512
 	// defaultIdleTimeout applies to a replica that states no idle timeout.
 	defaultIdleTimeout = 30 * time.Second
 	// maxCallsPerConnection bounds the calls that a connection carries before it is replaced, and with them the
@@ -304,7 +306,7 @@
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read response")
+			return nil, nil, errors.Wrap(boundError(err), "read response")
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
@@ -312,12 +314,21 @@
 		c.limit.remaining = maxBodyBytes + maxFramingBytes
 		body, err := c.memory.readBody(response)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "read response body")
+			return nil, nil, errors.Wrap(boundError(err), "read response body")
 		}
 		return response, body, nil
 	}
 }
 
+// boundError returns an error with at most maxErrorBytes of the text of err.
+func boundError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return errors.Newf("%s... (%d bytes)", text[:maxErrorBytes], len(text))
+}
+
 // idleTimeout returns how long a connection may be reused after a response, from the Keep-Alive
 // header of the replica.
 func idleTimeout(header http.Header) time.Duration {
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -114,21 +114,24 @@
 	pool    *exchanger.Pool
 	events  *queuer.Ring[exchanger.Event]
 	results map[string]wigeonspindle.Exchange
-	dialled []bool // dialled holds whether each reported dial was accepted.
+	errs    map[string]error // errs holds the errors of the results.
+	dialled []bool           // dialled holds whether each reported dial was accepted.
 	replica *wigeonspindle.Replica
 }
 
 func newHarness(t *testing.T, address string) *harness {
 	t.Helper()
 	h := &harness{
-		events: queuer.New[exchanger.Event](16), results: make(map[string]wigeonspindle.Exchange),
+		events: queuer.New[exchanger.Event](16), results: make(map[string]wigeonspindle.Exchange), errs: make(map[string]error),
 		replica: &wigeonspindle.Replica{ID: "r", Address: address},
 	}
 	stop := make(chan struct{})
 	h.pool = &exchanger.Pool{
 		Dialect: dialect{}, Clock: timekeeper.SystemClock{}, Events: h.events, Stop: stop,
-		OnResult: func(job *exchanger.Job, exchange wigeonspindle.Exchange, _ error) { h.results[job.Call.ID] = exchange },
-		OnDial:   func(_ *wigeonspindle.Replica, err error, _ time.Time) { h.dialled = append(h.dialled, err == nil) },
+		OnResult: func(job *exchanger.Job, exchange wigeonspindle.Exchange, err error) {
+			h.results[job.Call.ID], h.errs[job.Call.ID] = exchange, err
+		},
+		OnDial: func(_ *wigeonspindle.Replica, err error, _ time.Time) { h.dialled = append(h.dialled, err == nil) },
 	}
 	t.Cleanup(func() {
 		close(stop)
