--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -151,10 +151,13 @@
 // may have become usable earlier, or none may be left. It reports whether anything has changed for the call.
 func (c *CallState) HandleDeployment(now time.Time) (Step, bool) {
 	var step Step
+	if c.decided {
+		return step, false
+	}
 	changed := false
 	for i := range c.parts {
 		p := &c.parts[i]
-		if c.decided || p.response != nil || p.failed || p.retryAt.IsZero() || p.waitingForOther || len(p.inFlight) > 0 {
+		if p.response != nil || p.failed || p.retryAt.IsZero() || p.waitingForOther || len(p.inFlight) > 0 {
 			continue
 		}
 		retryAt, ok := c.nextRoundAt(p, now)
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -299,22 +299,18 @@
 // withFormerPools adds the pools of an earlier state that the configuration no longer names but that still have replicas.
 // Running calls may send to them, by the limits that hold for these replicas.
 func withFormerPools(deployment, earlier *wigeonspindle.DeploymentState) *wigeonspindle.DeploymentState {
-	if earlier == nil {
+	if earlier == nil || earlier.Catalog == deployment.Catalog {
 		return deployment
 	}
-	pools := deployment.Catalog.Pools
-	for name, pool := range earlier.Catalog.Pools {
-		if _, ok := pools[name]; ok || len(deployment.Replicas[name]) == 0 {
-			continue
-		}
-		if len(pools) == len(deployment.Catalog.Pools) {
-			pools = maps.Clone(pools)
-		}
-		pools[name] = pool
-	}
-	if len(pools) == len(deployment.Catalog.Pools) {
+	pools := maps.Clone(earlier.Catalog.Pools)
+	maps.DeleteFunc(pools, func(name string, _ wigeonspindle.Pool) bool {
+		_, named := deployment.Catalog.Pools[name]
+		return named || len(deployment.Replicas[name]) == 0
+	})
+	if len(pools) == 0 {
 		return deployment
 	}
+	maps.Copy(pools, deployment.Catalog.Pools)
 	state, catalog := *deployment, *deployment.Catalog
 	catalog.Pools, state.Catalog = pools, &catalog
 	return &state
