watcher: take no lost relay for an outage of the registry

Change: what a listing lacks is gone at once if the registry has answered all other calls of the host, on the same lease, from before the last state of its relays until MaxAge after it. A failed call or an expired lease ends the series, as in an outage in which entries lapse.

TestRegistryAfterLostRelays failed before: one replica in use that the registry no longer listed.

--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -131,7 +131,7 @@
 	}
 	s.announcer = &watcher.Announcer{Registry: s.Registry, Logger: s.Logger, Ready: s.Ready, Down: s.watcher.Down, Serving: s.serving, Peer: self}
 	s.watcher.OnAvailable, s.watcher.OnRestored = s.announcer.Wake, s.reporter.Restore
-	s.watcher.OnCheck, s.announcer.OnAnswer = s.announcer.Check, s.watcher.RecordAnswer
+	s.watcher.OnCheck, s.announcer.OnAnswer, s.announcer.OnFailure = s.announcer.Check, s.watcher.RecordAnswer, s.watcher.RecordFailure
 	s.rotation.Store(random.Uint64())
 	s.reporter.Run()
 	s.dispatcher.Run()
--- a/internal/transport/watcher/announcer.go
+++ b/internal/transport/watcher/announcer.go
@@ -51,8 +51,8 @@
 	Down func() bool
 	// Serving reports whether callers are directed to this host.
 	Serving func() bool
-	// OnAnswer is called when the registry has answered.
-	OnAnswer func()
+	// OnAnswer is called when the registry has answered, and OnFailure when a call has failed or the lease has expired.
+	OnAnswer, OnFailure func()
 
 	lease    uint64
 	short    bool // short reports that the lease has servingLeaseTTL.
@@ -95,6 +95,13 @@
 	}
 }
 
+// recordFailure reports a failed call.
+func (a *Announcer) recordFailure() {
+	if a.OnFailure != nil {
+		a.OnFailure()
+	}
+}
+
 // recordAnswer records that the registry has answered.
 func (a *Announcer) recordAnswer() {
 	a.failures = 0
@@ -105,6 +112,7 @@
 
 // retryDelay returns the time until the next attempt after a failed call.
 func (a *Announcer) retryDelay() time.Duration {
+	a.recordFailure()
 	delay := min(renewRetryInterval<<min(a.failures, 8), maxRenewRetryInterval)
 	if a.Down != nil && a.Down() {
 		delay = outageRetryInterval
@@ -141,6 +149,7 @@
 	case errors.Is(err, wigeonspindle.ErrLeaseExpired):
 		a.Logger.Warn("registration of this host expired", "lease_id", a.lease)
 		a.lease = 0
+		a.recordFailure()
 		return 0
 	case err != nil:
 		return a.retryDelay()
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -63,23 +63,40 @@
 	// base is the relay from which the present state comes, or nil if it comes from the registry.
 	base             *sharer.Client
 	revision         uint64
-	era              uint64                    // era is the latest one of the content; 0 when it is not known.
-	listed           bool                      // listed reports that revision is one of base.
-	down             atomic.Bool               // down reports that the registry answers neither this host nor those that it follows.
-	unavailableSince time.Time                 // unavailableSince is when the registry stopped answering; zero while it answers.
-	faultLoggedAt    time.Time                 // faultLoggedAt is when an invalid entry was last logged.
-	answeredAt       atomic.Pointer[time.Time] // answeredAt is when the registry last answered another call of this host.
-	failures         int                       // failures counts consecutive failed calls to the registry.
+	era              uint64                       // era is the latest one of the content; 0 when it is not known.
+	listed           bool                         // listed reports that revision is one of base.
+	down             atomic.Bool                  // down reports that the registry answers neither this host nor those that it follows.
+	unavailableSince time.Time                    // unavailableSince is when the registry stopped answering; zero while it answers.
+	faultLoggedAt    time.Time                    // faultLoggedAt is when an invalid entry was last logged.
+	answers          atomic.Pointer[answerSeries] // answers is the current series of the other calls of this host; nil after a failure.
+	failures         int                          // failures counts consecutive failed calls to the registry.
 	worker
 }
 
 // Down reports whether the registry answers neither this host nor the hosts that it follows.
 func (w *Watcher) Down() bool { return w.down.Load() }
 
+// answerSeries is a series of calls of this host to the registry that were all answered.
+type answerSeries struct{ first, last time.Time }
+
 // RecordAnswer records that the registry has answered a call of this host that is not one of the watcher's.
 func (w *Watcher) RecordAnswer() {
-	now := w.Clock.Now()
-	w.answeredAt.Store(&now)
+	series := answerSeries{first: w.Clock.Now()}
+	series.last = series.first
+	if known := w.answers.Load(); known != nil {
+		series.first = known.first
+	}
+	w.answers.Store(&series)
+}
+
+// RecordFailure records that the registry has not answered such a call, or has lost what it knew of this host.
+func (w *Watcher) RecordFailure() { w.answers.Store(nil) }
+
+// answeredThroughout reports whether the registry has answered all calls of this host from before a time until MaxAge after it. The
+// relays that had no state meanwhile had lost the registry, which itself was not away.
+func (w *Watcher) answeredThroughout(seen time.Time) bool {
+	series := w.answers.Load()
+	return series != nil && series.first.Before(seen) && series.last.Sub(seen) >= follower.MaxAge
 }
 
 // Run starts the watcher.
@@ -97,8 +114,8 @@
 func (w *Watcher) step(ctx context.Context) time.Duration {
 	started := w.Clock.Now()
 	state := w.Registrar.State()
-	if answeredAt := w.answeredAt.Load(); answeredAt != nil {
-		w.Follower.RecordAnswer(*answeredAt)
+	if answers := w.answers.Load(); answers != nil {
+		w.Follower.RecordAnswer(answers.last)
 	}
 	source := w.Follower.Choose(state.Peers, state.RegistrySeen, started)
 	if source.Check && w.OnCheck != nil {
@@ -205,6 +222,9 @@
 	if err == nil && (batch.Age > follower.MaxAge || batch.Era != 0 && batch.Era < w.era) {
 		err = wigeonspindle.ErrStale // A relay with content of an earlier era has not read the registry since.
 	}
+	if w.relay == nil && batch.Era == w.era && w.answeredThroughout(w.Registrar.State().RegistrySeen) {
+		batch.Settled = true // There was no outage, so what the content lacks is gone.
+	}
 	return batch, err
 }
 
--- a/internal/transport/watcher/watcher_test.go
+++ b/internal/transport/watcher/watcher_test.go
@@ -157,8 +157,30 @@
 }
 
 // TestRegistryAfterLostRelays guards against a host that goes on trying relays after its own has lost the registry and the
-// next one does not answer, although the registry answers the host.
+// next one does not answer, although the registry answers the host; and against a host that takes this for an outage of the
+// registry and goes on using replicas that have left.
 func TestRegistryAfterLostRelays(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		outage bool // outage reports that a call of the host to the registry fails meanwhile.
+		kept   int  // kept is the number of replicas in use that the registry no longer lists.
+	}{
+		{"registry answers throughout", false, 0},
+		{"registry was away", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			testLostRelays(t, test.outage, test.kept)
+		})
+	}
+}
+
+func testLostRelays(t *testing.T, outage bool, kept int) {
+	known, registry := &registrar.Registrar{RecoveryGrace: time.Hour}, &emptyRegistry{}
+	w := &watcher.Watcher{
+		Registry: registry, Registrar: known, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), OnChange: func(*wigeonspindle.DeploymentState) {},
+	}
+	w.RecordAnswer()
 	lost := &registrar.Registrar{}
 	lost.Replace(wigeonspindle.RegistryBatch{Updates: []wigeonspindle.RegistryUpdate{
 		{Subject: wigeonspindle.SubjectReplica, Name: "live", Replica: &wigeonspindle.Replica{ID: "live", Pool: "p"}},
@@ -175,16 +197,15 @@
 	}
 	defer func() { _ = silent.Close() }()
 	second := wigeonspindle.Peer{Name: "silent", LinkAddress: silent.Addr().String()}
-	known, registry := &registrar.Registrar{RecoveryGrace: time.Hour}, &emptyRegistry{}
-	w := &watcher.Watcher{
-		Registry: registry, Registrar: known, Clock: timekeeper.SystemClock{}, Logger: log.New(io.Discard), OnChange: func(*wigeonspindle.DeploymentState) {},
-		Follower: &follower.Follower{SelectRelays: func([]wigeonspindle.Peer, wigeonspindle.Peer, int) ([]wigeonspindle.Peer, bool) {
-			return []wigeonspindle.Peer{first, second}, false
-		}},
-	}
+	w.Follower = &follower.Follower{SelectRelays: func([]wigeonspindle.Peer, wigeonspindle.Peer, int) ([]wigeonspindle.Peer, bool) {
+		return []wigeonspindle.Peer{first, second}, false
+	}}
 	var checks atomic.Int32
 	w.OnCheck = func() {
 		checks.Add(1)
+		if outage {
+			w.RecordFailure()
+		}
 		w.RecordAnswer()
 	}
 	w.Run()
@@ -197,6 +218,10 @@
 	if got, want := checks.Load(), int32(1); got != want {
 		t.Errorf("checks whether the registry answers: got %d, want %d", got, want)
 	}
+	time.Sleep(200 * time.Millisecond) // The listing is applied.
+	if got := len(known.State().Replicas["p"]); got != kept {
+		t.Errorf("replicas in use that the registry no longer lists: got %d, want %d", got, kept)
+	}
 }
 
 // waitUntil waits until a condition holds, at most for waitTimeout.
