--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -71,7 +71,7 @@
 	registryFailures int       // registryFailures counts failed reads of the registry in a row.
 	failedAt         time.Time // failedAt is when a read of the registry last failed.
 	answeredAt       time.Time // answeredAt is when the registry last answered any call of this host.
-	checkedSeen      time.Time // checkedSeen is the age of the state, as a time, for which a check was last asked.
+	checkedSeen      time.Time // checkedSeen is when the state for which a check was last asked for was read.
 	checkedAt        time.Time // checkedAt is when it was asked.
 	unreachable      int       // unreachable counts the relays in a row that could not be reached.
 	cutOffUntil      time.Time // cutOffUntil is until when the registry is asked because the relays cannot be reached.
@@ -170,8 +170,8 @@
 	return f.registryFailures == 0 || f.answeredAt.After(f.failedAt)
 }
 
-// answersBeyond reports whether the registry has answered this host at a time when the relays should have had newer state: when an
-// outage begins, no host has such an answer.
+// answersBeyond reports whether the registry has answered this host at a time when the relays should have had newer
+// state. When an outage begins, no host has such an answer.
 func (f *Follower) answersBeyond(seen time.Time) bool {
 	return f.answeredAt.Sub(seen) >= MaxAge && f.registryAnswers()
 }
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -119,8 +119,8 @@
 }
 
 // waitForChanges returns the changes after a position and the position of the last one. It waits for the first change
-// or another answer of the registry, but only until the state is too old to be passed on. It returns false when the changes are
-// no longer held.
+// or another answer of the registry, but only until the state is too old to be passed on. It returns false when the
+// changes are no longer held.
 func (s *Server) waitForChanges(ctx context.Context, after uint64, wait time.Duration) ([]wigeonspindle.RegistryUpdate, uint64, bool) {
 	answered := s.Registrar.NextAnswer()
 	untilOld := s.Registrar.State().RegistrySeen.Add(follower.MaxAge).Sub(s.Clock.Now())
--- a/internal/transport/watcher/watcher.go
+++ b/internal/transport/watcher/watcher.go
@@ -92,8 +92,8 @@
 // RecordFailure records that the registry has not answered such a call, or has lost what it knew of this host.
 func (w *Watcher) RecordFailure() { w.answers.Store(nil) }
 
-// answeredThroughout reports whether the registry has answered all calls of this host from before a time until MaxAge after it. The
-// relays that had no state meanwhile had lost the registry, which itself was not away.
+// answeredThroughout reports whether the registry has answered all calls of this host from before a time until MaxAge
+// after it. Relays that had no state meanwhile had lost the registry, which itself was not away.
 func (w *Watcher) answeredThroughout(seen time.Time) bool {
 	series := w.answers.Load()
 	return series != nil && series.first.Before(seen) && series.last.Sub(seen) >= follower.MaxAge
@@ -260,7 +260,8 @@
 	} else {
 		deployment = w.Registrar.Replace(batch, now)
 		w.listed = true
-		w.Logger.Info("read the whole registry state", "source", w.sourceName(), "revision", batch.Revision, "entries", len(batch.Updates), "registry_state_age", batch.Age)
+		w.Logger.Info("read the whole registry state", "source", w.sourceName(), "revision", batch.Revision, "entries", len(batch.Updates), "registry_state_age", batch.Age,
+			"settled", batch.Settled)
 	}
 	w.revision = batch.Revision
 	w.setBase()
