dispatcher: log what the fingerprint of a call is made from

Eleven crashes of one route had eleven fingerprints, and the logs could not tell whether the caller, the path, the body or the spelling of the authority made the difference. Sends that a replica may have run and calls that are refused as quarantined now name them: caller, method, authority, the first 256 bytes of the URI, the size and a hash of the body.

--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -122,7 +122,7 @@
 func crashReplica(d *dispatcher.Dispatcher) wigeonspindle.CallReply {
 	var reply wigeonspindle.CallReply
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		call := &wigeonspindle.Call{ID: "c", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
+		call := &wigeonspindle.Call{ID: "c", Caller: "192.0.2.1", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
 		if reply = d.Handle(context.Background(), call); reply.Refusal != nil && reply.Refusal.Verdict == wigeonspindle.MayHaveRun {
 			break // The deployment state has arrived and the replica has crashed.
 		}
@@ -251,7 +251,7 @@
 	var running sync.WaitGroup
 	for range calls {
 		running.Go(func() {
-			call := &wigeonspindle.Call{ID: "c", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
+			call := &wigeonspindle.Call{ID: "c", Caller: "192.0.2.1", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
 			if reply := d.Handle(context.Background(), call); reply.Refusal != nil && reply.Refusal.Code == wigeonspindle.CodeOverloaded {
 				refused.Add(1)
 			}
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -5,10 +5,15 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 )
 
+// maxLoggedURIBytes bounds the request URI in a log line.
+const maxLoggedURIBytes = 256
+
 // logExchange logs a send that did not succeed.
 func (d *Dispatcher) logExchange(p *pendingCall, send gatherer.Send, exchange wigeonspindle.Exchange, err error) {
 	if exchange.Response != nil && exchange.Response.Success() {
@@ -23,7 +28,7 @@
 		fields = append(fields, "status", exchange.Response.Status)
 	}
 	if exchange.Sent && exchange.Verdict != wigeonspindle.NotRun {
-		fields = append(fields, "fingerprint", fingerprintNames(p))
+		fields = append(append(fields, "fingerprint", fingerprintNames(p)), identityFields(p.call)...)
 	}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
@@ -61,7 +66,7 @@
 	if reply.Refusal != nil {
 		outcome = string(reply.Refusal.Code)
 		if reply.Refusal.Code == wigeonspindle.CodeQuarantined {
-			fields = append(fields, "fingerprint", fingerprintNames(p))
+			fields = append(append(fields, "fingerprint", fingerprintNames(p)), identityFields(p.call)...)
 		}
 		fields = append(fields, "verdict", reply.Refusal.Verdict, "reason", reply.Refusal.Message,
 			"retry_after", reply.RetryAfter, "registry_state_age", now.Sub(d.deployment.RegistrySeen))
@@ -88,6 +93,18 @@
 	return strings.Join(names, ",")
 }
 
+// identityFields returns the log fields of what the fingerprints of a call are made from.
+func identityFields(call *wigeonspindle.Call) []any {
+	uri := call.RequestURI
+	if len(uri) > maxLoggedURIBytes {
+		uri = uri[:maxLoggedURIBytes]
+	}
+	return []any{
+		"caller", call.Caller, "method", call.Method, "authority", call.Authority, "uri", uri, "uri_bytes", len(call.RequestURI),
+		"body_bytes", len(call.Body), "body_hash", fmt.Sprintf("%016x", xxhash.Sum64(call.Body)),
+	}
+}
+
 // logLimit logs the request limit of a replica if it differs from the one before.
 func (d *Dispatcher) logLimit(replica *wigeonspindle.Replica, before wigeonspindle.RequestLimit) {
 	if limit := d.Gatherer.Selector.Limit(replica.ID); limit != before {
