quarantiner: count the crashes of a call for all its callers together

The evidence was found and shared, but the fingerprint contains the address of the caller, and 11 crashes had 11 fingerprints.

Crashes are counted for the calls of one caller and for those of all callers, each with and without the query. An answer to another caller withdraws the suspicions that leave the caller out, so a caller whose calls alone crash replicas is still told apart. Crashes within 0.5 s count as one where the caller is left out: a failure domain that stops ends many replicas at once, and a popular call runs on several of them.

TestReportOfQuarantine took the fingerprint of any report. A call has two now, of which the one without the caller is not quarantined by crashes 6 ms apart, so the test asks whether the other host refuses the call, which is what it guards.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
 // CallState is the state of one call.
@@ -26,7 +27,7 @@
 	Noticed bool
 
 	gatherer      *Gatherer
-	fingerprints  []uint64
+	fingerprints  []quarantiner.Fingerprint
 	parts         []part
 	requiredParts int
 	answeredParts int
@@ -197,7 +198,7 @@
 func (c *CallState) Decided() bool { return c.decided }
 
 // Fingerprints returns the hashes under which the call is suspected of crashing replicas.
-func (c *CallState) Fingerprints() []uint64 { return c.fingerprints }
+func (c *CallState) Fingerprints() []quarantiner.Fingerprint { return c.fingerprints }
 
 // Coverage returns the number of answered parts and of all parts.
 func (c *CallState) Coverage() (answered, total int) { return c.answeredParts, len(c.parts) }
--- a/internal/coordination/gatherer/canary.go
+++ b/internal/coordination/gatherer/canary.go
@@ -18,10 +18,10 @@
 	quarantine := c.gatherer.Correlator.Quarantiner
 	suspectedPools := make(map[string]bool)
 	for _, fingerprint := range c.fingerprints {
-		if quarantine.State(fingerprint, now) != quarantiner.Suspect {
+		if quarantine.State(fingerprint.Hash, now) != quarantiner.Suspect {
 			continue
 		}
-		for _, suspicion := range quarantine.SuspicionsOf(fingerprint, now) {
+		for _, suspicion := range quarantine.SuspicionsOf(fingerprint.Hash, now) {
 			suspectedPools[suspicion.Pool] = true
 		}
 	}
--- a/internal/coordination/gatherer/ends_test.go
+++ b/internal/coordination/gatherer/ends_test.go
@@ -85,11 +85,11 @@
 
 // checkBlamed checks whether the end of a replica shortly after a time is evidence against a call, also if the replica
 // has accepted a connection meanwhile.
-func (h *harness) checkBlamed(t *testing.T, fingerprint uint64, replica *wigeonspindle.Replica, now time.Time, want bool) {
+func (h *harness) checkBlamed(t *testing.T, fingerprint quarantiner.Fingerprint, replica *wigeonspindle.Replica, now time.Time, want bool) {
 	t.Helper()
 	h.RecordReachability(replica, wigeonspindle.Reachable, now.Add(time.Millisecond), now.Add(2*time.Millisecond))
 	suspicions := h.RecordReachability(replica, wigeonspindle.Ended, now.Add(500*time.Millisecond), now.Add(500*time.Millisecond))
-	state := h.Correlator.Quarantiner.State(fingerprint, now.Add(time.Second))
+	state := h.Correlator.Quarantiner.State(fingerprint.Hash, now.Add(time.Second))
 	if got := len(suspicions) > 0 && state == quarantiner.Suspect; got != want {
 		t.Errorf("end of the replica is evidence: got %t (%+v), want %t", got, suspicions, want)
 	}
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -2,11 +2,8 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wigeonspindle.example/wigeonspindle"
 )
 
@@ -22,29 +19,6 @@
 	maxFailedSends = 64
 )
 
-// Fingerprints returns hashes of the parts of a call that stay the same when it is repeated: its
-// caller, method, authority, request URI and body. A call with a query has a second fingerprint
-// without it, because a repeated call may carry another query; where the query makes the difference,
-// answers to other calls on the same path withdraw the suspicions against that one.
-func Fingerprints(call *wigeonspindle.Call) []uint64 {
-	fingerprints := []uint64{fingerprint(call, call.RequestURI)}
-	if path, _, ok := strings.Cut(call.RequestURI, "?"); ok {
-		fingerprints = append(fingerprints, fingerprint(call, path))
-	}
-	return fingerprints
-}
-
-func fingerprint(call *wigeonspindle.Call, uri string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range []string{call.Caller, call.Method, call.Authority, uri} {
-		_, _ = digest.WriteString(part) // The digest never returns an error.
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(call.Body)
-	return digest.Sum64()
-}
-
 // CrashCorrelator attributes the end of a target to the sends that failed there shortly before, whatever the way in
 // which they failed. A request that another target of the pool answers does not crash the targets of that pool.
 type CrashCorrelator struct {
@@ -53,12 +27,12 @@
 	SuspicionTTL time.Duration
 
 	failedSends map[string][]failedSend // failedSends holds those of each target, the oldest first.
-	callCounts  map[uint64]int          // callCounts counts the failed sends of each call by its first fingerprint.
+	callCounts  map[Fingerprint]int     // callCounts counts the failed sends of each call by its first fingerprint.
 }
 
 // failedSend is a send that ended without success although the target may have run it.
 type failedSend struct {
-	fingerprints []uint64 // fingerprints are those of the call; the first identifies it.
+	fingerprints []Fingerprint // fingerprints are those of the call; the first identifies it.
 	pool         string
 	isolated     bool
 	// abandoned reports that the host gave the send up, so that the target may still run it.
@@ -74,13 +48,13 @@
 // that is no success, or with a connection that broke. Isolated means that the request has only one part or that
 // this part was sent again, so that its loss is not explained by the simultaneous loss of several targets. It returns
 // until when the end of the target would be attributed to the send.
-func (c *CrashCorrelator) RecordFailedSend(fingerprints []uint64, pool, target string, isolated bool, now time.Time) time.Time {
+func (c *CrashCorrelator) RecordFailedSend(fingerprints []Fingerprint, pool, target string, isolated bool, now time.Time) time.Time {
 	return c.record(target, failedSend{fingerprints: fingerprints, pool: pool, isolated: isolated, endedAt: now, until: now.Add(crashWindow)})
 }
 
 // RecordAbandonedSend records that the host gave up a send that the target may run until its deadline. The other
 // parameters and the result are those of RecordFailedSend.
-func (c *CrashCorrelator) RecordAbandonedSend(fingerprints []uint64, pool, target string, isolated bool, deadline, now time.Time) time.Time {
+func (c *CrashCorrelator) RecordAbandonedSend(fingerprints []Fingerprint, pool, target string, isolated bool, deadline, now time.Time) time.Time {
 	run := min(max(deadline.Sub(now), 0), maxAbandonedRun)
 	return c.record(target, failedSend{
 		fingerprints: fingerprints, pool: pool, isolated: isolated, abandoned: true, endedAt: now, until: now.Add(run + crashWindow),
@@ -89,7 +63,7 @@
 
 func (c *CrashCorrelator) record(target string, send failedSend) time.Time {
 	if c.failedSends == nil {
-		c.failedSends, c.callCounts = make(map[string][]failedSend), make(map[uint64]int)
+		c.failedSends, c.callCounts = make(map[string][]failedSend), make(map[Fingerprint]int)
 	}
 	c.retain(target, func(known failedSend) bool { return send.endedAt.Before(known.until) })
 	if oldest := c.failedSends[target]; len(oldest) >= maxFailedSends {
@@ -165,8 +139,8 @@
 
 // blame returns the suspicions against those failed sends to a target that count as evidence, and forgets these.
 func (c *CrashCorrelator) blame(target string, now time.Time, counts func(send failedSend) bool) []wigeonspindle.Suspicion {
-	calls := make(map[uint64]bool)
-	suspects := make(map[uint64]failedSend)
+	contents := make(map[Fingerprint]bool)
+	suspects := make(map[Fingerprint]failedSend)
 	c.retain(target, func(send failedSend) bool {
 		if !now.Before(send.until) {
 			return false
@@ -174,7 +148,7 @@
 		if !counts(send) {
 			return true
 		}
-		calls[send.fingerprints[0]] = true
+		contents[contentOf(send.fingerprints)] = true
 		for _, fingerprint := range send.fingerprints {
 			suspects[fingerprint] = send
 		}
@@ -182,7 +156,7 @@
 	})
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
 	for fingerprint, send := range suspects {
-		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, send.pool, target, len(calls), send.isolated, c.SuspicionTTL, now); added {
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, send.pool, target, len(contents), send.isolated, c.SuspicionTTL, now); added {
 			suspicions = append(suspicions, suspicion)
 		}
 	}
@@ -191,31 +165,31 @@
 
 // RecordAnswer records that a target of a pool answered a request. It returns the withdrawn
 // suspicions to send to the other hosts.
-func (c *CrashCorrelator) RecordAnswer(fingerprints []uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
+func (c *CrashCorrelator) RecordAnswer(fingerprints []Fingerprint, pool, target string, now time.Time) []wigeonspindle.Suspicion {
 	answered := func(send failedSend) bool {
 		return send.pool == pool && slices.Contains(fingerprints, send.fingerprints[0])
 	}
-	if slices.ContainsFunc(fingerprints, func(fingerprint uint64) bool { return c.callCounts[fingerprint] > 0 }) {
+	if slices.ContainsFunc(fingerprints, func(fingerprint Fingerprint) bool { return c.callCounts[fingerprint] > 0 }) {
 		for other := range c.failedSends {
 			c.retain(other, func(send failedSend) bool { return !answered(send) })
 		}
 	}
 	var withdrawn []wigeonspindle.Suspicion
 	for _, fingerprint := range fingerprints {
-		withdrawn = append(withdrawn, c.Quarantiner.RecordCompletion(fingerprint, pool, target, now)...)
+		withdrawn = append(withdrawn, c.Quarantiner.RecordCompletion(fingerprint.Hash, pool, target, now)...)
 	}
 	return withdrawn
 }
 
 // QuarantinedUntil returns until when a call with these fingerprints is refused, or the zero time when
 // it is not.
-func (c *CrashCorrelator) QuarantinedUntil(fingerprints []uint64, now time.Time) time.Time {
+func (c *CrashCorrelator) QuarantinedUntil(fingerprints []Fingerprint, now time.Time) time.Time {
 	var until time.Time
 	for _, fingerprint := range fingerprints {
-		if c.Quarantiner.State(fingerprint, now) != Quarantined {
+		if c.Quarantiner.State(fingerprint.Hash, now) != Quarantined {
 			continue
 		}
-		if expiresAt := c.Quarantiner.ExpiresAt(fingerprint, now); expiresAt.After(until) {
+		if expiresAt := c.Quarantiner.ExpiresAt(fingerprint.Hash, now); expiresAt.After(until) {
 			until = expiresAt
 		}
 	}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -20,6 +20,10 @@
 	// crashThreshold is the number of crashes at which a fingerprint is quarantined whatever else was
 	// lost with it. Requests that only ran beside a crashing one are answered between two crashes.
 	crashThreshold = 4
+	// commonCausePeriod is the time within which the crashes of a call of several callers count as one: a
+	// rack or a failure domain that stops ends many replicas at once, and a call that many callers make runs on several of
+	// them. It equals the time for which a suspicion waits for an answer before it is reported.
+	commonCausePeriod = 500 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept for a fingerprint. More add nothing once it is
 	// quarantined.
 	maxCrashes = 16
@@ -56,10 +60,10 @@
 // flight. It returns the suspicion to send to the other hosts, and false when the crash adds nothing.
 // Attempts that were not isolated make a fingerprint at most suspect: when a failure domain stops, a
 // query of many shards loses many attempts at once.
-func (q *Quarantiner) RecordCrash(fingerprint uint64, pool, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
-	delete(q.successes, fingerprint)
-	delete(q.previousSuccesses, fingerprint)
-	for _, known := range q.lookup(fingerprint, now) {
+func (q *Quarantiner) RecordCrash(fingerprint Fingerprint, pool, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
+	delete(q.successes, fingerprint.Hash)
+	delete(q.previousSuccesses, fingerprint.Hash)
+	for _, known := range q.lookup(fingerprint.Hash, now) {
 		if known.Simultaneous && !isolated {
 			return known, false
 		}
@@ -69,8 +73,9 @@
 	}
 	q.crashCount++
 	suspicion := wigeonspindle.Suspicion{
-		Fingerprint: fingerprint, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
+		Fingerprint: fingerprint.Hash, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
 		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
+		AnyCaller: fingerprint.AnyCaller,
 	}
 	q.store(suspicion, now)
 	return suspicion, true
@@ -208,15 +213,30 @@
 
 // score returns the evidence of several crashes: the sum of their weights, and at least
 // ScoreThreshold for crashThreshold crashes. Simultaneous ones count as one, with the largest of
-// their weights.
+// their weights, and so do those of any callers that may have one cause.
 func score(crashes []wigeonspindle.Suspicion) float64 {
 	total, simultaneous, count := 0.0, 0.0, 0
+	var anyCaller []wigeonspindle.Suspicion
 	for _, known := range crashes {
-		if known.Simultaneous {
+		switch {
+		case known.Simultaneous:
 			simultaneous = max(simultaneous, known.Score)
-			continue
+		case known.AnyCaller:
+			anyCaller = append(anyCaller, known)
+		default:
+			total += known.Score
+			count++
+		}
+	}
+	// All suspicions are valid for the same time, so they expire in the order of the crashes.
+	slices.SortFunc(anyCaller, func(a, b wigeonspindle.Suspicion) int { return a.Expires.Compare(b.Expires) })
+	for len(anyCaller) > 0 {
+		largest, first := 0.0, anyCaller[0].Expires
+		for len(anyCaller) > 0 && anyCaller[0].Expires.Sub(first) < commonCausePeriod {
+			largest = max(largest, anyCaller[0].Score)
+			anyCaller = anyCaller[1:]
 		}
-		total += known.Score
+		total += largest
 		count++
 	}
 	if simultaneous > 0 {
--- a/internal/coordination/quarantiner/quarantiner_test.go
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -22,16 +22,16 @@
 			t.Errorf("%s: got state %d, want %d", name, got, want)
 		}
 	}
-	q.RecordCrash(1, "p", "t0", 2, false, expiry, epoch)
-	q.RecordCrash(2, "p", "t0", 2, false, expiry, epoch)
+	q.RecordCrash(identity(1), "p", "t0", 2, false, expiry, epoch)
+	q.RecordCrash(identity(2), "p", "t0", 2, false, expiry, epoch)
 	checkState("shared crash", 1, epoch, quarantiner.Suspect)
 	if cleared := q.RecordCompletion(2, "p", "t1", epoch); len(cleared) != 1 || !cleared[0].Cleared {
 		t.Errorf("isolated completion: got %+v, want a cleared suspicion", cleared)
 	}
 	checkState("isolated completion", 2, epoch, quarantiner.Clear)
-	q.RecordCrash(1, "p", "t1", 1, true, expiry, epoch)
+	q.RecordCrash(identity(1), "p", "t1", 1, true, expiry, epoch)
 	checkState("score 1.5", 1, epoch, quarantiner.Suspect)
-	q.RecordCrash(1, "p", "t2", 1, true, expiry, epoch)
+	q.RecordCrash(identity(1), "p", "t2", 1, true, expiry, epoch)
 	checkState("score 2.5", 1, epoch, quarantiner.Quarantined)
 	if got := q.RecordCompletion(1, "p", "t3", epoch); len(got) != 0 {
 		t.Errorf("quarantined request: got %+v, want it not cleared by a late completion", got)
@@ -53,10 +53,10 @@
 		t.Errorf("suspicion received twice: got state %d, want %d", got, want)
 	}
 	for range 12 {
-		q.RecordCrash(4, "p", "t0", 1, false, expiry, epoch)
+		q.RecordCrash(identity(4), "p", "t0", 1, false, expiry, epoch)
 	}
 	checkState("12 targets lost at once", 4, epoch, quarantiner.Suspect)
-	q.RecordCrash(4, "p", "t0", 1, true, expiry, epoch)
+	q.RecordCrash(identity(4), "p", "t0", 1, true, expiry, epoch)
 	checkState("isolated crash after them", 4, epoch, quarantiner.Quarantined)
 	checkState("before expiry", 1, epoch.Add(expiry-1), quarantiner.Quarantined)
 	checkState("after expiry", 1, epoch.Add(expiry), quarantiner.Clear)
@@ -66,10 +66,10 @@
 // against evicting a quarantined fingerprint in favour of a suspect.
 func TestBounds(t *testing.T) {
 	q := &quarantiner.Quarantiner{MaxSuspects: 4, MinSuccesses: 4}
-	q.RecordCrash(1000, "p", "t0", 1, true, expiry, epoch)
-	q.RecordCrash(1000, "p", "t0", 1, true, expiry, epoch)
+	q.RecordCrash(identity(1000), "p", "t0", 1, true, expiry, epoch)
+	q.RecordCrash(identity(1000), "p", "t0", 1, true, expiry, epoch)
 	for fingerprint := range uint64(100) {
-		q.RecordCrash(fingerprint, "p", "t0", 3, true, expiry, epoch)
+		q.RecordCrash(identity(fingerprint), "p", "t0", 3, true, expiry, epoch)
 		q.RecordSuccess(fingerprint, epoch)
 	}
 	if got, want := q.Len(), 4; got != want {
@@ -81,7 +81,7 @@
 	if q.RecentlySucceeded(1) || !q.RecentlySucceeded(99) {
 		t.Error("successes: want the latest kept and the earliest dropped")
 	}
-	q.RecordCrash(99, "p", "t0", 1, true, expiry, epoch)
+	q.RecordCrash(identity(99), "p", "t0", 1, true, expiry, epoch)
 	if q.RecentlySucceeded(99) {
 		t.Error("crash: want the success dropped, so that a canary runs first again")
 	}
@@ -91,8 +91,8 @@
 // each of them has seen only one of its crashes.
 func TestCrashesAtSeveralHosts(t *testing.T) {
 	first, second := &quarantiner.Quarantiner{MaxSuspects: 8}, &quarantiner.Quarantiner{MaxSuspects: 8}
-	first.RecordCrash(1, "p", "t1", 1, true, expiry, epoch)
-	second.RecordCrash(1, "p", "t2", 1, true, expiry, epoch)
+	first.RecordCrash(identity(1), "p", "t1", 1, true, expiry, epoch)
+	second.RecordCrash(identity(1), "p", "t2", 1, true, expiry, epoch)
 	for _, suspicion := range first.Suspicions(epoch) {
 		second.Merge(suspicion, epoch)
 	}
@@ -115,8 +115,8 @@
 func TestSimultaneousCrashes(t *testing.T) {
 	host, other := &quarantiner.Quarantiner{MaxSuspects: 8}, &quarantiner.Quarantiner{MaxSuspects: 8}
 	for i := range 5 {
-		other.RecordCrash(1, "p", string(rune('a'+i)), 1, false, expiry, epoch)
-		host.RecordCrash(1, "p", string(rune('p'+i)), 1, false, expiry, epoch)
+		other.RecordCrash(identity(1), "p", string(rune('a'+i)), 1, false, expiry, epoch)
+		host.RecordCrash(identity(1), "p", string(rune('p'+i)), 1, false, expiry, epoch)
 	}
 	if got, want := len(other.Suspicions(epoch)), 1; got != want {
 		t.Errorf("suspicions to send: got %d, want %d", got, want)
@@ -150,7 +150,7 @@
 	q.RecordCompletion(3, "p", "t", epoch)
 	q.Sync(entries, epoch)
 	checkState("withdrawn by this host, not yet by the registry", 3, quarantiner.Clear)
-	q.RecordCrash(4, "p", "t", 1, true, expiry, epoch)
+	q.RecordCrash(identity(4), "p", "t", 1, true, expiry, epoch)
 	q.Sync(nil, epoch)
 	checkState("withdrawn by another host", 1, quarantiner.Clear)
 	checkState("quarantine whose entries are lost", 2, quarantiner.Quarantined)
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -118,12 +118,16 @@
 	}
 }
 
+// crashingCall returns the call of crashReplica.
+func crashingCall() *wigeonspindle.Call {
+	return &wigeonspindle.Call{ID: "c", Caller: "192.0.2.1", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
+}
+
 // crashReplica sends a call until a replica has crashed on it, and returns the reply.
 func crashReplica(d *dispatcher.Dispatcher) wigeonspindle.CallReply {
 	var reply wigeonspindle.CallReply
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		call := &wigeonspindle.Call{ID: "c", Caller: "192.0.2.1", Method: http.MethodPost, Authority: "h", Path: "/x", RequestURI: "/x", Arrived: time.Now()}
-		if reply = d.Handle(context.Background(), call); reply.Refusal != nil && reply.Refusal.Verdict == wigeonspindle.MayHaveRun {
+		if reply = d.Handle(context.Background(), crashingCall()); reply.Refusal != nil && reply.Refusal.Verdict == wigeonspindle.MayHaveRun {
 			break // The deployment state has arrived and the replica has crashed.
 		}
 	}
@@ -175,14 +179,12 @@
 			settled = true
 		}
 	}
-	other := &quarantiner.Quarantiner{MaxSuspects: 8}
-	var fingerprint uint64
+	other := &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: 8}}
 	for _, suspicion := range registry {
-		fingerprint = suspicion.Fingerprint
-		other.Merge(suspicion, time.Now())
+		other.Quarantiner.Merge(suspicion, time.Now())
 	}
-	if got, want := other.State(fingerprint, time.Now()), quarantiner.Quarantined; got != want {
-		t.Errorf("state at a host that reads the registry %+v: got %d, want %d", registry, got, want)
+	if until := other.QuarantinedUntil(quarantiner.Fingerprints(crashingCall()), time.Now()); until.IsZero() {
+		t.Errorf("call at a host that reads the registry %+v: got accepted, want refused", registry)
 	}
 }
 
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -88,7 +88,7 @@
 func fingerprintNames(p *pendingCall) string {
 	var names []string
 	for _, fingerprint := range p.state.Fingerprints() {
-		names = append(names, wigeonspindle.Suspicion{Fingerprint: fingerprint}.FingerprintName())
+		names = append(names, wigeonspindle.Suspicion{Fingerprint: fingerprint.Hash}.FingerprintName())
 	}
 	return strings.Join(names, ",")
 }
--- a/internal/transport/launcher/suspicions.go
+++ b/internal/transport/launcher/suspicions.go
@@ -11,7 +11,7 @@
 // recordCrash counts a target's crash against a fingerprint and informs the cell.
 func (l *queryLoop) recordCrash(attempt *wigeonspindle.Attempt, outcome wigeonspindle.Outcome, now time.Time) {
 	rules := l.rules()
-	entry, added := l.quarantiner.RecordCrash(attempt.Fingerprint, attempt.Shard, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
+	entry, added := l.quarantiner.RecordCrash(quarantiner.Fingerprint{Hash: attempt.Fingerprint}, attempt.Shard, outcome.Target, outcome.ConcurrentAttempts, attempt.Exclusive, rules.Expiry.Value(), now)
 	if added {
 		l.broadcastSuspicion(entry)
 		l.stopQuarantined(entry, now)
--- a/lease.go
+++ b/lease.go
@@ -95,6 +95,8 @@
 	// Simultaneous reports that the target may have been lost together with others for another
 	// reason. All such suspicions against a fingerprint count as one crash.
 	Simultaneous bool
+	// AnyCaller reports that the fingerprint leaves out the caller.
+	AnyCaller bool
 	// Cleared withdraws the suspicion.
 	Cleared bool
 }
