dispatcher: report suspicions again that a restored registry lacks

The registrar publishes which suspicions the registry lacks since it came back from a copy, and the hosts that hold them report them, 50 ms after one another, until the registry lists them. The class of fault is state that all rely on and only one process can bring back. Of what hosts share, entries of replicas, hosts and domains have writers that outlive them or end with them; withdrawals of suspicions are still written again by one host only, and a suspicion that comes back so is withdrawn by the next answer.

--- a/internal/state/registrar/registrar.go
+++ b/internal/state/registrar/registrar.go
@@ -348,10 +348,12 @@
 	}
 	for _, entry := range r.suspicions {
 		state.Suspicions = append(state.Suspicions, entry.suspicion)
+		if entry.lost {
+			state.UnlistedSuspicions = append(state.UnlistedSuspicions, entry.suspicion)
+		}
 	}
-	slices.SortFunc(state.Suspicions, func(a, b wigeonspindle.Suspicion) int {
-		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Crash, b.Crash))
-	})
+	sortSuspicions(state.Suspicions)
+	sortSuspicions(state.UnlistedSuspicions)
 	slices.SortFunc(state.Peers, func(a, b wigeonspindle.Peer) int { return strings.Compare(a.Name, b.Name) })
 	state.ServingPeers = state.Peers
 	if r.SelectServing != nil {
@@ -363,6 +365,12 @@
 	return state
 }
 
+func sortSuspicions(suspicions []wigeonspindle.Suspicion) {
+	slices.SortFunc(suspicions, func(a, b wigeonspindle.Suspicion) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Crash, b.Crash))
+	})
+}
+
 // dropLost drops the entries that were kept after the registry no longer listed them, when their time is over.
 func (r *Registrar) dropLost(now time.Time) {
 	if !now.Before(r.removalsTrustedAt) {
--- a/internal/state/registrar/registrar_test.go
+++ b/internal/state/registrar/registrar_test.go
@@ -270,28 +270,28 @@
 		r.Replace(inEra(1, catalog(5), replica("a", 1, 3), replica("b", 1, 3), peer("h"), domain("z"), suspicion("a-1")), at(0))
 		return r
 	}
-	count := func(r *registrar.Registrar) [4]int {
+	count := func(r *registrar.Registrar) [5]int {
 		state := r.State()
-		return [4]int{len(state.Replicas["pool"]), len(state.Peers), len(state.OutDomains), len(state.Suspicions)}
+		return [5]int{len(state.Replicas["pool"]), len(state.Peers), len(state.OutDomains), len(state.Suspicions), len(state.UnlistedSuspicions)}
 	}
 	for _, test := range []struct {
 		name string
 		play func(r *registrar.Registrar)
-		want [4]int // want is the number of replicas, hosts, domains taken out and suspicions.
+		want [5]int // want is the number of replicas, hosts, domains taken out, suspicions, and suspicions that the registry lacks.
 	}{
-		{"at once", func(*registrar.Registrar) {}, [4]int{2, 1, 1, 1}},
-		{"during the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(2900*time.Millisecond)) }, [4]int{2, 1, 1, 1}},
+		{"at once", func(*registrar.Registrar) {}, [5]int{2, 1, 1, 1, 1}},
+		{"during the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(2900*time.Millisecond)) }, [5]int{2, 1, 1, 1, 1}},
 		// The suspicion may have been reported by a host that has stopped since, so it is kept until it expires.
-		{"after the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(3100*time.Millisecond)) }, [4]int{1, 0, 0, 1}},
+		{"after the recovery grace", func(r *registrar.Registrar) { r.Apply(inEra(2), at(3100*time.Millisecond)) }, [5]int{1, 0, 0, 1, 1}},
 		{"written again", func(r *registrar.Registrar) {
 			r.Apply(inEra(2, replica("b", 1, 4), peer("h"), domain("z"), suspicion("a-1")), at(2*time.Second))
 			r.Apply(inEra(2), at(10*time.Second))
-		}, [4]int{2, 1, 1, 1}},
+		}, [5]int{2, 1, 1, 1, 0}},
 		{"withdrawn since", func(r *registrar.Registrar) {
 			r.Apply(inEra(2, domain("z"), removal(wigeonspindle.SubjectDomain, "z"), removal(wigeonspindle.SubjectSuspicion, suspicion("a-1").Name)), at(2*time.Second))
-		}, [4]int{2, 1, 0, 0}},
-		{"listed again without them", func(r *registrar.Registrar) { r.Replace(inEra(2, replica("a", 1, 4)), at(2*time.Second)) }, [4]int{2, 1, 1, 1}},
-		{"expired", func(r *registrar.Registrar) { r.Apply(inEra(2), at(11*time.Minute)) }, [4]int{1, 0, 0, 0}},
+		}, [5]int{2, 1, 0, 0, 0}},
+		{"listed again without them", func(r *registrar.Registrar) { r.Replace(inEra(2, replica("a", 1, 4)), at(2*time.Second)) }, [5]int{2, 1, 1, 1, 1}},
+		{"expired", func(r *registrar.Registrar) { r.Apply(inEra(2), at(11*time.Minute)) }, [5]int{1, 0, 0, 0, 0}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newRegistrar()
@@ -301,7 +301,7 @@
 			}
 			test.play(r)
 			if got := count(r); got != test.want {
-				t.Errorf("replicas, hosts, domains taken out, suspicions: got %v, want %v", got, test.want)
+				t.Errorf("replicas, hosts, domains taken out, suspicions, those that the registry lacks: got %v, want %v", got, test.want)
 			}
 			if got, want := r.State().Catalog.Version, uint64(5); got != want {
 				t.Errorf("version: got %d, want %d", got, want)
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -89,6 +89,8 @@
 	matcher     *matcher.Matcher
 	// invalidFieldLoggedAt is when each field with an invalid value was last logged.
 	invalidFieldLoggedAt map[string]time.Time
+	unlistedReportDue    bool            // unlistedReportDue reports that what the registry lacks will be reported.
+	unlistedReportedAt   time.Time       // unlistedReportedAt is when they were last reported.
 	unreachable          map[string]bool // unreachable holds the replicas that have been logged as accepting no connection.
 	serving              bool            // serving reports whether callers are directed to this host.
 	stop                 chan struct{}
@@ -218,6 +220,7 @@
 	now := d.Clock.Now()
 	d.Gatherer.UpdateDeployment(deployment, replicaIDs, now)
 	d.removeExpiredSuspicions(deployment, now)
+	d.scheduleUnlistedReports(now)
 	d.pool.CloseAfterUse, d.Gatherer.Standby = !d.serving, !d.serving
 	d.pool.RetainReplicas(replicaIDs)
 	maps.DeleteFunc(d.unreachable, func(id string, _ bool) bool { return !replicaIDs[id] })
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -269,3 +269,45 @@
 		t.Errorf("log lines of calls refused at a full queue: got %d, want one for each, at most %d", got, refused.Load())
 	}
 }
+
+// TestUnlistedSuspicions guards against a call that crashes replicas and is served by hosts that start later, because the
+// registry came back from a copy and the host that had reported the call is gone, and against all hosts reporting it.
+func TestUnlistedSuspicions(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	suspicion := wigeonspindle.Suspicion{Fingerprint: 1, Crash: "a", Score: 1, Expires: time.Now().Add(time.Hour)}
+	peers := func(before int) []wigeonspindle.Peer {
+		list := make([]wigeonspindle.Peer, before, before+1)
+		return append(list, wigeonspindle.Peer{Name: "h"})
+	}
+	for _, test := range []struct {
+		name   string
+		before int  // before is the number of serving hosts before this one.
+		listed bool // listed says that the registry holds the suspicion again soon after.
+		want   int
+	}{
+		{"first host", 0, false, 1},
+		{"one of many hosts", 100, false, 1},
+		{"another host was faster", 100, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			reports := make(chan wigeonspindle.Suspicion, 8)
+			d := newDispatcher(&countingClock{}, reports)
+			d.Run()
+			deployment := orderDeployment()
+			deployment.ServingPeers = peers(test.before)
+			deployment.Suspicions, deployment.UnlistedSuspicions = []wigeonspindle.Suspicion{suspicion}, []wigeonspindle.Suspicion{suspicion}
+			d.UpdateDeployment(deployment)
+			time.Sleep(100 * time.Millisecond)
+			next := *deployment
+			if test.listed {
+				next.UnlistedSuspicions = nil
+			}
+			d.UpdateDeployment(&next)
+			time.Sleep(1200 * time.Millisecond)
+			d.Close()
+			if got := len(reports); got != test.want {
+				t.Errorf("reports within 1.3 s: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -9,6 +9,17 @@
 	"wigeonspindle.example/wigeonspindle/internal/transport/exchanger"
 )
 
+const (
+	// unlistedReportStagger is the time between the reports of two hosts of what the registry lacks since it came back
+	// from a copy. Hosts that find it listed by then report nothing.
+	unlistedReportStagger = 50 * time.Millisecond
+	// maxUnlistedReportDelay bounds that time for large fleets: the hosts that know it may be replaced.
+	maxUnlistedReportDelay = time.Second
+	// unlistedReportInterval is the least time between two reports of one host, in which it learns that the
+	// registry holds what it has reported.
+	unlistedReportInterval = 2 * time.Second
+)
+
 // handleDial records whether a replica accepted a connection that was dialled at a given time; err is nil if it did.
 func (d *Dispatcher) handleDial(replica *wigeonspindle.Replica, err error, dialled time.Time) {
 	now := d.Clock.Now()
@@ -71,3 +82,26 @@
 		}
 	}
 }
+
+// scheduleUnlistedReports reports the suspicions again that the registry lacks since it came back from a copy: the host
+// that reported them may be gone, and hosts that start later know only what the registry holds.
+func (d *Dispatcher) scheduleUnlistedReports(now time.Time) {
+	if len(d.deployment.UnlistedSuspicions) == 0 || d.unlistedReportDue {
+		return
+	}
+	rank := slices.IndexFunc(d.deployment.ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == d.Self.Name })
+	if rank < 0 {
+		rank = len(d.deployment.ServingPeers)
+	}
+	at := now.Add(min(time.Duration(rank)*unlistedReportStagger, maxUnlistedReportDelay))
+	if next := d.unlistedReportedAt.Add(unlistedReportInterval); at.Before(next) {
+		at = next
+	}
+	d.unlistedReportDue = true
+	d.timers.AddOnce(at, func(now time.Time) {
+		d.unlistedReportDue, d.unlistedReportedAt = false, now
+		for _, suspicion := range d.deployment.UnlistedSuspicions {
+			d.ReportSuspicion(suspicion)
+		}
+	})
+}
--- a/replica.go
+++ b/replica.go
@@ -47,8 +47,10 @@
 	Peers        []Peer                // Peers are sorted by name and include the host itself.
 	ServingPeers []Peer                // ServingPeers are the peers to which callers are sent.
 	// Suspicions are those that other hosts reported.
-	Suspicions   []Suspicion
-	RegistrySeen time.Time // RegistrySeen is when the registry last answered.
+	Suspicions []Suspicion
+	// UnlistedSuspicions are those of Suspicions that the registry lacks since it came back from a copy.
+	UnlistedSuspicions []Suspicion
+	RegistrySeen       time.Time // RegistrySeen is when the registry last answered.
 }
 
 // ReplicaIDs returns the IDs of all replicas.
