--- /dev/null
+++ b/review/fleet/quarantine.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
+)
+
+// Times of the case, from the start of traffic, and the bounds of the rule RECOVER.
+const (
+	blips        = 3
+	firstBlip    = 12 * time.Second
+	blipInterval = 4 * time.Second // blipInterval is the time between the starts of two blips.
+	blipDown     = 4500 * time.Millisecond
+	blipSpread   = 5 * time.Millisecond // blipSpread is the time between the ends of the two replicas of a shard.
+	killAt       = 28 * time.Second     // killAt is when all replicas have been back for some seconds.
+	killDown     = 1200 * time.Millisecond
+	recovery     = 12 * time.Second
+	measured     = 15 * time.Second
+	servedShare  = 0.25
+)
+
+// quarantine crashes both replicas of one shard, three times, each time of another shard. Later all hosts are killed, as
+// at the end of a day. The requests harm no replica.
+func quarantine(w *world, trouble bool) (bool, error) {
+	const hosts, shardCount, rate = 6, 8, 60
+	zones := []string{"zone-a", "zone-b"}
+	var shards []string
+	services := []map[string]any{{"name": "orders", "max_connections": 192}}
+	for i := range shardCount {
+		shards = append(shards, fmt.Sprintf("shard-%d", i))
+		services = append(services, map[string]any{"name": shards[i], "max_connections": 50})
+	}
+	for _, service := range append([]string{"orders"}, shards...) {
+		for _, zone := range zones {
+			w.startReplica(service, zone, simulator.ReservedAddress())
+		}
+	}
+	route := func(name string) map[string]any {
+		return map[string]any{
+			"name": name, "host": authority, "path_prefix": "/" + name + "/", "route_type": "idempotent", "timeout_ms": 1200,
+			"target_latency_ms": 200, "priority": 1, "max_attempts": 2,
+		}
+	}
+	search, order := route("search"), route("order")
+	search["fanout"], search["top_k"], search["min_coverage"] = shards, 20, 0.75
+	order["service"] = "orders"
+	w.store.Put("op/config", map[string]any{
+		"version": 1, "routes": []any{search, order}, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	for i := range hosts {
+		if err := w.addHost(i, zones[i%len(zones)]); err != nil {
+			return false, err
+		}
+	}
+	if err := w.waitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second) // The hosts learn of one another.
+
+	c := &callers{world: w, rate: rate, path: func(number int) string {
+		if number%8 == 0 {
+			return fmt.Sprintf("/order/%d", number)
+		}
+		return fmt.Sprintf("/search/patterns?q=%d", number)
+	}}
+	traffic := time.Now()
+	c.run()
+	for i := range blips {
+		time.Sleep(time.Until(traffic.Add(firstBlip + time.Duration(i)*blipInterval)))
+		if !trouble {
+			continue
+		}
+		for _, r := range w.current(shards[1+i]) {
+			w.crash(r, blipDown)
+			time.Sleep(blipSpread)
+		}
+	}
+	time.Sleep(time.Until(traffic.Add(killAt)))
+	killed := time.Now()
+	for _, h := range w.hosts {
+		h.kill()
+	}
+	w.note("all hosts are killed")
+	time.Sleep(killDown)
+	for _, h := range w.hosts {
+		if err := h.run(); err != nil {
+			return false, err
+		}
+	}
+	back := time.Now()
+	w.note("all hosts are started again")
+	time.Sleep(recovery + measured)
+	end := time.Now()
+	c.close()
+
+	sentBefore, servedBefore := c.served(traffic, killed)
+	sentAfter, servedAfter := c.served(back.Add(recovery), end)
+	verdict := fmt.Sprintf("RECOVER: served %d of %d requests before the final fault, %d of %d sent later than %v after it",
+		servedBefore, sentBefore, servedAfter, sentAfter, recovery)
+	w.note("%s", verdict)
+	fmt.Println(verdict)
+	if sentBefore == 0 || sentAfter == 0 {
+		return false, fmt.Errorf("no requests were sent")
+	}
+	return float64(servedAfter) < servedShare*float64(sentAfter) && float64(servedBefore) >= servedShare*float64(sentBefore), nil
+}
