--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10.
+# Builds the stand-ins of the cases from 6 on.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/fleet
+go build -buildvcs=false -o target/review-2/ ./review/platform/fleet
--- a/review/fleet/caller.go
+++ b/review/platform/fleet/caller.go
@@ -49,8 +49,7 @@
 	c.stop = make(chan struct{})
 	clients := make([]*http.Client, callerCount)
 	for i := range clients {
-		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+i))}, Timeout: time.Second}
-		clients[i] = &http.Client{Timeout: deadline, Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+		clients[i] = newClient(i)
 	}
 	c.running.Go(func() {
 		ticker := time.NewTicker(time.Second / time.Duration(c.rate))
@@ -68,6 +67,22 @@
 	})
 }
 
+// sendCrashing sends the search that crashes replicas, each time by the same caller, which sends nothing else, and waits
+// for the answer.
+func (c *callers) sendCrashing(attempt int) {
+	h := c.world.hosts[attempt%len(c.world.hosts)]
+	c.send(newClient(callerCount), h, &request{id: fmt.Sprintf("crash%d", attempt), host: h.name, path: searchPath(crashingTerms), sent: time.Now()})
+}
+
+// searchPath returns the path of a search.
+func searchPath(terms string) string { return "/search/patterns?q=" + terms }
+
+// newClient returns the client of a caller, which has a loopback address of its own.
+func newClient(caller int) *http.Client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+caller))}, Timeout: time.Second}
+	return &http.Client{Timeout: deadline, Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+}
+
 // close stops the callers, waits for the last answers and writes all requests to the record.
 func (c *callers) close() {
 	close(c.stop)
--- a/review/fleet/main.go
+++ b/review/platform/fleet/main.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the cases by name. Each returns whether its rule was broken.
-var cases = map[string]func(w *world, trouble bool) (bool, error){"quarantine": quarantine}
+var cases = map[string]func(w *world, trouble bool) (bool, error){"poison": poison, "blip": blip}
 
 func main() { os.Exit(run(os.Args[1:])) }
 
--- a/review/fleet/quarantine.go
+++ b/review/platform/fleet/quarantine.go
@@ -2,34 +2,67 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
-// Times of the case, from the start of traffic, and the bounds of the rule RECOVER.
+// Times of the cases, and the bounds of the rule RECOVER.
 const (
 	blips        = 3
-	firstBlip    = 12 * time.Second
-	blipInterval = 4 * time.Second // blipInterval is the time between the starts of two blips.
-	blipDown     = 4500 * time.Millisecond
+	blipInterval = 4 * time.Second      // blipInterval is the time between the starts of two blips.
 	blipSpread   = 5 * time.Millisecond // blipSpread is the time between the ends of the two replicas of a shard.
-	killAt       = 28 * time.Second     // killAt is when all replicas have been back for some seconds.
+	attempts     = 3
+	attemptPause = 2 * time.Second // attemptPause is the time between two attempts of the crashing request.
+	replicaDown  = 4500 * time.Millisecond
+	disruptionAt = 12 * time.Second // disruptionAt is counted from the start of traffic, and so is killAt.
+	killAt       = 28 * time.Second // killAt is when all replicas have been back for some seconds.
 	killDown     = 1200 * time.Millisecond
 	recovery     = 12 * time.Second
 	measured     = 15 * time.Second
 	servedShare  = 0.25
 )
 
-// quarantine crashes both replicas of one shard, three times, each time of another shard. Later all hosts are killed, as
-// at the end of a day. The requests harm no replica.
-func quarantine(w *world, trouble bool) (bool, error) {
+// poison has one caller send a search that crashes each replica that begins to run it.
+func poison(w *world, trouble bool) (bool, error) {
+	return recoverAfter(w, func(c *callers) {
+		for i := range attempts {
+			if trouble {
+				c.sendCrashing(i)
+			}
+			time.Sleep(attemptPause)
+		}
+	})
+}
+
+// blip crashes both replicas of one shard, each time of another shard. The requests harm no replica.
+func blip(w *world, trouble bool) (bool, error) {
+	return recoverAfter(w, func(*callers) {
+		for i := range blips {
+			start := time.Now()
+			if trouble {
+				for _, r := range w.current(shardName(1 + i)) {
+					w.crash(r)
+					time.Sleep(blipSpread)
+				}
+			}
+			time.Sleep(time.Until(start.Add(blipInterval)))
+		}
+	})
+}
+
+func shardName(index int) string { return fmt.Sprintf("shard-%d", index) }
+
+// recoverAfter sends searches and order look-ups to all hosts, brings about a disruption, and later kills all hosts, as at
+// the end of a day. It reports whether RECOVER was broken.
+func recoverAfter(w *world, disrupt func(c *callers)) (bool, error) {
 	const hosts, shardCount, rate = 6, 8, 60
 	zones := []string{"zone-a", "zone-b"}
 	var shards []string
 	services := []map[string]any{{"name": "orders", "max_connections": 192}}
 	for i := range shardCount {
-		shards = append(shards, fmt.Sprintf("shard-%d", i))
+		shards = append(shards, shardName(i))
 		services = append(services, map[string]any{"name": shards[i], "max_connections": 50})
 	}
 	for _, service := range append([]string{"orders"}, shards...) {
@@ -64,20 +97,12 @@
 		if number%8 == 0 {
 			return fmt.Sprintf("/order/%d", number)
 		}
-		return fmt.Sprintf("/search/patterns?q=%d", number)
+		return searchPath(strconv.Itoa(number))
 	}}
 	traffic := time.Now()
 	c.run()
-	for i := range blips {
-		time.Sleep(time.Until(traffic.Add(firstBlip + time.Duration(i)*blipInterval)))
-		if !trouble {
-			continue
-		}
-		for _, r := range w.current(shards[1+i]) {
-			w.crash(r, blipDown)
-			time.Sleep(blipSpread)
-		}
-	}
+	time.Sleep(time.Until(traffic.Add(disruptionAt)))
+	disrupt(c)
 	time.Sleep(time.Until(traffic.Add(killAt)))
 	killed := time.Now()
 	for _, h := range w.hosts {
--- a/review/fleet/replica.go
+++ b/review/platform/fleet/replica.go
@@ -18,11 +18,15 @@
 	slots, queueLength = 2, 12
 	// work is the mean time of a run. Runs take from half of it to one and a half times as long.
 	work = 50 * time.Millisecond
+	// crashingTerms are the terms of the search that crashes each replica.
+	crashingTerms = "crash"
 )
 
 // replica is a server of one service.
 type replica struct {
 	id, service, zone, address string
+	// crash is called when the replica begins to run a request that crashes it.
+	crash func()
 
 	born   int64
 	server *httptest.Server
@@ -98,6 +102,10 @@
 	r.mutex.Lock()
 	r.runs[id]++
 	r.mutex.Unlock()
+	if request.URL.Query().Get("q") == crashingTerms {
+		r.crash()
+		panic(http.ErrAbortHandler) // There is no answer.
+	}
 	select {
 	case <-time.After(work/2 + rand.N(work)):
 	case <-request.Context().Done():
--- a/review/fleet/world.go
+++ b/review/platform/fleet/world.go
@@ -85,17 +85,18 @@
 	defer w.mutex.Unlock()
 	w.started++
 	r := newReplica(fmt.Sprintf("i-%s-%d", service, w.started), service, zone, address)
+	r.crash = func() { w.crash(r) }
 	w.replicas[service] = append(w.replicas[service], r)
 	w.store.Put("servers/"+r.id, r.entry())
 	return r
 }
 
 // crash ends a replica. Its entry lapses after three heartbeats, and a new incarnation takes its place after a time.
-func (w *world) crash(r *replica, down time.Duration) {
+func (w *world) crash(r *replica) {
 	w.note("%s crashes", r.id)
 	r.end()
 	time.AfterFunc(3*heartbeat, func() { w.store.Remove("servers/" + r.id) })
-	time.AfterFunc(down, func() { w.note("%s takes the place of %s", w.startReplica(r.service, r.zone, r.address).id, r.id) })
+	time.AfterFunc(replicaDown, func() { w.note("%s takes the place of %s", w.startReplica(r.service, r.zone, r.address).id, r.id) })
 }
 
 // current returns the replicas of a service that have not ended.
