--- a/review/platform/fleet/quarantine.go
+++ b/review/platform/fleet/quarantine.go
@@ -10,23 +10,26 @@
 
 // Times of the cases, and the bounds of the rule RECOVER.
 const (
-	blips        = 3
+	poisonRate   = 40 // poisonRate and blipRate are the requests a second of all callers.
+	blipRate     = 60
+	blips        = 5
 	blipInterval = 4 * time.Second      // blipInterval is the time between the starts of two blips.
 	blipSpread   = 5 * time.Millisecond // blipSpread is the time between the ends of the two replicas of a shard.
 	attempts     = 3
 	attemptPause = 2 * time.Second // attemptPause is the time between two attempts of the crashing request.
 	replicaDown  = 4500 * time.Millisecond
-	disruptionAt = 12 * time.Second // disruptionAt is counted from the start of traffic, and so is killAt.
-	killAt       = 28 * time.Second // killAt is when all replicas have been back for some seconds.
-	killDown     = 1200 * time.Millisecond
-	recovery     = 12 * time.Second
-	measured     = 15 * time.Second
-	servedShare  = 0.25
+	disruptionAt = 12 * time.Second // disruptionAt is counted from the start of traffic.
+	// settle is how long after the disruption the hosts are killed, when all replicas have been back for some seconds.
+	settle      = 8 * time.Second
+	killDown    = 1200 * time.Millisecond
+	recovery    = 12 * time.Second
+	measured    = 15 * time.Second
+	servedShare = 0.25
 )
 
 // poison has one caller send a search that crashes each replica that begins to run it.
 func poison(w *world, trouble bool) (bool, error) {
-	return recoverAfter(w, func(c *callers) {
+	return recoverAfter(w, poisonRate, func(c *callers) {
 		for i := range attempts {
 			if trouble {
 				c.sendCrashing(i)
@@ -38,7 +41,7 @@
 
 // blip crashes both replicas of one shard, each time of another shard. The requests harm no replica.
 func blip(w *world, trouble bool) (bool, error) {
-	return recoverAfter(w, func(*callers) {
+	return recoverAfter(w, blipRate, func(*callers) {
 		for i := range blips {
 			start := time.Now()
 			if trouble {
@@ -54,10 +57,10 @@
 
 func shardName(index int) string { return fmt.Sprintf("shard-%d", index) }
 
-// recoverAfter sends searches and order look-ups to all hosts, brings about a disruption, and later kills all hosts, as at
+// recoverAfter sends searches and order look-ups to all hosts at a rate, brings about a disruption, and later kills all hosts, as at
 // the end of a day. It reports whether RECOVER was broken.
-func recoverAfter(w *world, disrupt func(c *callers)) (bool, error) {
-	const hosts, shardCount, rate = 6, 8, 60
+func recoverAfter(w *world, rate int, disrupt func(c *callers)) (bool, error) {
+	const hosts, shardCount = 6, 8
 	zones := []string{"zone-a", "zone-b"}
 	var shards []string
 	services := []map[string]any{{"name": "orders", "max_connections": 192}}
@@ -103,7 +106,7 @@
 	c.run()
 	time.Sleep(time.Until(traffic.Add(disruptionAt)))
 	disrupt(c)
-	time.Sleep(time.Until(traffic.Add(killAt)))
+	time.Sleep(settle)
 	killed := time.Now()
 	for _, h := range w.hosts {
 		h.kill()
