--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the
-# crashing request.
+# crashing requests.
 set -u
 export TROUBLE="${TROUBLE:-1}"
 here=$(cd "$(dirname "$0")" && pwd)
--- a/review/platform/fleet/caller.go
+++ b/review/platform/fleet/caller.go
@@ -67,11 +67,11 @@
 	})
 }
 
-// sendCrashing sends the search that crashes replicas, each time by the same caller, which sends nothing else, and waits
-// for the answer.
+// sendCrashing sends a search that crashes replicas, each time by another caller and with other terms, and waits for the
+// answer. These callers send nothing else.
 func (c *callers) sendCrashing(attempt int) {
 	h := c.world.hosts[attempt%len(c.world.hosts)]
-	c.send(newClient(callerCount), h, &request{id: fmt.Sprintf("crash%d", attempt), host: h.name, path: searchPath(crashingTerms), sent: time.Now()})
+	c.send(newClient(callerCount+attempt), h, &request{id: fmt.Sprintf("crash%d", attempt), host: h.name, path: searchPath(fmt.Sprintf("%s%d", crashingTerms, attempt)), sent: time.Now()})
 }
 
 // searchPath returns the path of a search.
--- a/review/platform/fleet/quarantine.go
+++ b/review/platform/fleet/quarantine.go
@@ -16,7 +16,7 @@
 	blipInterval = 4 * time.Second      // blipInterval is the time between the starts of two blips.
 	blipSpread   = 5 * time.Millisecond // blipSpread is the time between the ends of the two replicas of a shard.
 	attempts     = 3
-	attemptPause = 2 * time.Second // attemptPause is the time between two attempts of the crashing request.
+	attemptPause = 6 * time.Second // attemptPause is the time between two crashing requests.
 	replicaDown  = 4500 * time.Millisecond
 	disruptionAt = 12 * time.Second // disruptionAt is counted from the start of traffic.
 	// settle is how long after the disruption the hosts are killed, when all replicas have been back for some seconds.
@@ -27,7 +27,7 @@
 	servedShare = 0.25
 )
 
-// poison has one caller send a search that crashes each replica that begins to run it.
+// poison has three callers, one after the other, send a search that crashes each replica that begins to run it.
 func poison(w *world, trouble bool) (bool, error) {
 	return recoverAfter(w, poisonRate, func(c *callers) {
 		for i := range attempts {
--- a/review/platform/fleet/replica.go
+++ b/review/platform/fleet/replica.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,7 @@
 	slots, queueLength = 2, 12
 	// work is the mean time of a run. Runs take from half of it to one and a half times as long.
 	work = 50 * time.Millisecond
-	// crashingTerms are the terms of the search that crashes each replica.
+	// crashingTerms begin the terms of the searches that crash each replica.
 	crashingTerms = "crash"
 )
 
@@ -102,7 +103,7 @@
 	r.mutex.Lock()
 	r.runs[id]++
 	r.mutex.Unlock()
-	if request.URL.Query().Get("q") == crashingTerms {
+	if strings.HasPrefix(request.URL.Query().Get("q"), crashingTerms) {
 		r.crash()
 		panic(http.ErrAbortHandler) // There is no answer.
 	}
