quarantiner: do not blame a fingerprint that its pool has just answered

Cause: a crash is evidence against four fingerprints of a call, the widest without caller and query. Only an answer that arrives after the crash and before the score reaches the threshold withdraws it. From then on no call is let through that could be answered.

Change: answers are kept for 2 s by fingerprint and pool, and a crash is no evidence against a fingerprint that the pool answered within that time before. The exact call is still blamed, since it has no answers. The time is shorter than contact_ms, so that a call that begins to crash replicas after it was answered is blamed in time.

The set of recent successes and the answers share one type.

--- a/internal/coordination/gatherer/crash_test.go
+++ b/internal/coordination/gatherer/crash_test.go
@@ -12,10 +12,17 @@
 // crash runs a call that crashes the replicas for which crashes returns true, until the call is
 // decided. It returns the number of crashed replicas and the reply.
 func (h *harness) crash(t *testing.T, start time.Duration, crashes func(replica *wigeonspindle.Replica) bool) (int, *wigeonspindle.CallReply) {
+	t.Helper()
+	h.Deployment = h.deployment
+	return h.play(t, &wigeonspindle.Call{ID: "c", Arrived: at(start), CallerTimeout: time.Second}, crashes)
+}
+
+// play runs a call like crash.
+func (h *harness) play(t *testing.T, call *wigeonspindle.Call, crashes func(replica *wigeonspindle.Replica) bool) (int, *wigeonspindle.CallReply) {
 	t.Helper()
 	crashed := 0
-	state, step := h.call(start)
-	now := start
+	state, step := h.StartCall(call, h.route, call.Arrived)
+	now := call.Arrived.Sub(at(0))
 	for rounds := 0; step.Reply == nil; rounds++ {
 		if rounds == 1000 {
 			t.Fatal("call: got no reply in 1000 rounds, want one")
@@ -54,7 +61,6 @@
 // through its retries, and again when the caller repeats it.
 func TestCrashing(t *testing.T) {
 	h := newHarness(8)
-	all := func(*wigeonspindle.Replica) bool { return true }
 	first, reply := h.crash(t, 0, all)
 	// The 8 first sends are made before any result is known. One retry then gives the evidence.
 	if got, want := first, 9; got > want {
--- /dev/null
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -0,0 +1,57 @@
+package gatherer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonspindle.example/wigeonspindle"
+)
+
+// search returns a search of a caller that arrives at the given offset. All searches have the same path.
+func search(caller, terms string, after time.Duration) *wigeonspindle.Call {
+	return &wigeonspindle.Call{
+		ID: terms, Caller: caller, Method: "GET", Authority: "shop.example", RequestURI: "/search/all?q=" + terms, Arrived: at(after), CallerTimeout: time.Second,
+	}
+}
+
+// none and all are the replicas that a sound call and one that crashes each replica end.
+func none(*wigeonspindle.Replica) bool { return false }
+func all(*wigeonspindle.Replica) bool  { return true }
+
+// playSearches runs searches with terms of their own in a span of time and returns the number that is not answered.
+func (h *harness) playSearches(t *testing.T, from, until, interval time.Duration) int {
+	t.Helper()
+	refused := 0
+	for now := from; now < until; now += interval {
+		if _, reply := h.play(t, search(fmt.Sprintf("10.0.0.%d", now/interval%5), fmt.Sprint(now), now), none); reply.Merged == nil {
+			refused++
+		}
+	}
+	return refused
+}
+
+// TestCrashingSearchBesideOthers guards against refusing all searches of a path because one of them, which loses both
+// replicas of a shard before another search is answered, crashes replicas.
+func TestCrashingSearchBesideOthers(t *testing.T) {
+	h := newHarness(8)
+	h.Deployment = h.deployment
+	h.playSearches(t, 0, 5*time.Second, 100*time.Millisecond)
+	for i := range 3 {
+		begin := 5*time.Second + time.Duration(i)*20*time.Second
+		crashing := func(after time.Duration) *wigeonspindle.Call {
+			return search(fmt.Sprintf("10.0.1.%d", i), fmt.Sprintf("crash%d", i), begin+after)
+		}
+		if crashed, _ := h.play(t, crashing(0), all); crashed < 2 {
+			t.Fatalf("replicas that search %d crashes: got %d, want at least 2", i, crashed)
+		}
+		// The replicas have restarted.
+		if got, want := h.playSearches(t, begin+10*time.Second, begin+20*time.Second, 100*time.Millisecond), 0; got != want {
+			t.Errorf("searches of others refused after search %d: got %d of 100, want %d", i, got, want)
+		}
+		_, reply := h.play(t, crashing(20*time.Second-time.Millisecond), all)
+		if reply.Refusal == nil || reply.Refusal.Code != wigeonspindle.CodeQuarantined {
+			t.Errorf("search %d again: got %+v, want code quarantined", i, reply)
+		}
+	}
+}
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -176,6 +176,7 @@
 	}
 	var withdrawn []wigeonspindle.Suspicion
 	for _, fingerprint := range fingerprints {
+		c.Quarantiner.RecordAnswer(fingerprint.Hash, pool, now)
 		withdrawn = append(withdrawn, c.Quarantiner.RecordCompletion(fingerprint.Hash, pool, target, now)...)
 	}
 	return withdrawn
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -29,6 +29,12 @@
 	maxCrashes = 16
 	// successRotationPeriod is the minimum time for which a success is kept while the table has room.
 	successRotationPeriod = 10 * time.Minute
+	// answerPeriod is how long before a crash an answer of the same pool shows that a fingerprint is not to blame. It is
+	// shorter than the time after which the users' rules count further crashes (contact_ms, 4 s), because calls that were
+	// answered may begin to crash targets.
+	answerPeriod = 2 * time.Second
+	// minAnswers bounds the answers that are kept within answerPeriod, each of one fingerprint and pool.
+	minAnswers = 8192
 )
 
 // State is the state of a fingerprint.
@@ -48,21 +54,29 @@
 	// least the latest MinSuccesses and at most twice as many are kept.
 	MaxSuspects, MinSuccesses int
 
-	suspects          map[uint64][]wigeonspindle.Suspicion // suspects holds the crashes of each fingerprint, the oldest first.
-	shared            map[string]bool                      // shared holds the names of the suspicions of the last Sync.
-	crashCount        uint64                               // crashCount numbers the crashes that this host has seen.
-	successes         map[uint64]bool
-	previousSuccesses map[uint64]bool // previousSuccesses holds the successes before rotatedAt.
-	rotatedAt         time.Time
+	suspects   map[uint64][]wigeonspindle.Suspicion // suspects holds the crashes of each fingerprint, the oldest first.
+	shared     map[string]bool                      // shared holds the names of the suspicions of the last Sync.
+	crashCount uint64                               // crashCount numbers the crashes that this host has seen.
+	successes  recency[uint64]
+	answers    recency[answerKey]
+}
+
+// answerKey names the answers of a pool to the calls with a fingerprint.
+type answerKey struct {
+	fingerprint uint64
+	pool        string
 }
 
 // RecordCrash records a crash, whose weight is divided by the number of attempts that were in
-// flight. It returns the suspicion to send to the other hosts, and false when the crash adds nothing.
+// flight. It returns the suspicion to send to the other hosts, and false when the crash adds nothing: a fingerprint
+// that the pool has just answered is not to blame, while a more specific one of the same call may be.
 // Attempts that were not isolated make a fingerprint at most suspect: when a failure domain stops, a
 // query of many shards loses many attempts at once.
 func (q *Quarantiner) RecordCrash(fingerprint Fingerprint, pool, target string, concurrentAttempts int, isolated bool, ttl time.Duration, now time.Time) (wigeonspindle.Suspicion, bool) {
-	delete(q.successes, fingerprint.Hash)
-	delete(q.previousSuccesses, fingerprint.Hash)
+	q.successes.forget(fingerprint.Hash)
+	if q.recentlyAnswered(fingerprint.Hash, pool, now) {
+		return wigeonspindle.Suspicion{}, false
+	}
 	for _, known := range q.lookup(fingerprint.Hash, now) {
 		if known.Simultaneous && !isolated {
 			return known, false
@@ -180,18 +194,23 @@
 
 // RecordSuccess records that a target answered a request.
 func (q *Quarantiner) RecordSuccess(fingerprint uint64, now time.Time) {
-	if len(q.successes) >= q.MinSuccesses || now.Sub(q.rotatedAt) >= successRotationPeriod {
-		q.previousSuccesses, q.successes, q.rotatedAt = q.successes, nil, now
-	}
-	if q.successes == nil {
-		q.successes = make(map[uint64]bool)
-	}
-	q.successes[fingerprint] = true
+	q.successes.record(fingerprint, q.MinSuccesses, successRotationPeriod, now)
 }
 
 // RecentlySucceeded reports whether a success of the fingerprint is still kept.
 func (q *Quarantiner) RecentlySucceeded(fingerprint uint64) bool {
-	return q.successes[fingerprint] || q.previousSuccesses[fingerprint]
+	return !q.successes.last(fingerprint).IsZero()
+}
+
+// RecordAnswer records that a target of a pool answered a request, as evidence that later crashes there have another
+// cause.
+func (q *Quarantiner) RecordAnswer(fingerprint uint64, pool string, now time.Time) {
+	q.answers.record(answerKey{fingerprint, pool}, minAnswers, answerPeriod, now)
+}
+
+func (q *Quarantiner) recentlyAnswered(fingerprint uint64, pool string, now time.Time) bool {
+	last := q.answers.last(answerKey{fingerprint, pool})
+	return !last.IsZero() && now.Sub(last) < answerPeriod
 }
 
 // Suspicions returns the unexpired suspicions, to be sent to a host that was unreachable.
