quarantiner: count the crashes of one moment once for fingerprints of different calls

Cause: one event counts as two crashes.

Change: a fingerprint that leaves out the caller or the query is wide, and all its crashes within commonCausePeriod count as one, whatever the sends were. Suspicion.AnyCaller becomes Wide and keeps its names in messages and documents; the fingerprint that leaves out the query alone is wide now. The exact call counts as before (TestCrashingOneShard).

--- a/internal/coordination/gatherer/shared_path_test.go
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -55,3 +55,19 @@
 		}
 	}
 }
+
+// TestShardLostAtOnce guards against refusing all searches of a path because one of them ran on both replicas of a shard
+// when these were lost within some milliseconds, at a host that has not had an answer for a while.
+func TestShardLostAtOnce(t *testing.T) {
+	h := newHarness(8)
+	h.Deployment = h.deployment
+	inShard := func(replica *wigeonspindle.Replica) bool { return replica.Pool == "shard-3" }
+	if lost, _ := h.play(t, search("10.0.0.1", "lost", 0), inShard); lost != 2 {
+		t.Fatalf("replicas that are lost under the search: got %d, want 2", lost)
+	}
+	for _, caller := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
+		if _, reply := h.play(t, search(caller, "another", 20*time.Second), none); reply.Merged == nil || reply.Merged.MissingShards != 0 {
+			t.Errorf("another search of %s: got %+v, want an answer without missing shards", caller, reply)
+		}
+	}
+}
--- a/internal/coordination/quarantiner/fingerprint.go
+++ b/internal/coordination/quarantiner/fingerprint.go
@@ -12,9 +12,9 @@
 // Fingerprint identifies the calls that count as the same one when replicas crash.
 type Fingerprint struct {
 	Hash uint64
-	// AnyCaller reports that the hash leaves out the caller, so that the calls of several callers may be in progress at the
-	// same time.
-	AnyCaller bool
+	// Wide reports that the hash leaves out the caller or the query, so that different calls with it may be in progress at
+	// the same time.
+	Wide bool
 }
 
 // Fingerprints returns the fingerprints of a call, the most specific first. A call that crashes replicas may come again from
@@ -23,23 +23,23 @@
 // fingerprints that leave it out.
 func Fingerprints(call *wigeonspindle.Call) []Fingerprint {
 	body := xxhash.Sum64(call.Body)
-	identify := func(uri string) []Fingerprint {
-		return []Fingerprint{
-			{Hash: hash(body, call.Caller, call.Method, call.Authority, uri)},
-			{Hash: hash(body, call.Method, call.Authority, uri), AnyCaller: true},
-		}
+	fingerprints := []Fingerprint{
+		{Hash: hash(body, call.Caller, call.Method, call.Authority, call.RequestURI)},
+		{Hash: hash(body, call.Method, call.Authority, call.RequestURI), Wide: true},
 	}
-	fingerprints := identify(call.RequestURI)
 	if path, _, ok := strings.Cut(call.RequestURI, "?"); ok {
-		fingerprints = append(fingerprints, identify(path)...)
+		fingerprints = append(fingerprints,
+			Fingerprint{Hash: hash(body, call.Caller, call.Method, call.Authority, path), Wide: true},
+			Fingerprint{Hash: hash(body, call.Method, call.Authority, path), Wide: true})
 	}
 	return fingerprints
 }
 
-// contentOf returns the most specific fingerprint that does not depend on the caller, or the first one if all do.
+// contentOf returns the most specific wide fingerprint, which does not depend on the caller, or the first one if there is
+// none.
 func contentOf(fingerprints []Fingerprint) Fingerprint {
 	for _, fingerprint := range fingerprints {
-		if fingerprint.AnyCaller {
+		if fingerprint.Wide {
 			return fingerprint
 		}
 	}
--- a/internal/coordination/quarantiner/fingerprint_test.go
+++ b/internal/coordination/quarantiner/fingerprint_test.go
@@ -89,7 +89,7 @@
 // TestCommonCause guards against hosts that refuse a call of many callers because each of them has lost one at
 // the same moment.
 func TestCommonCause(t *testing.T) {
-	content := quarantiner.Fingerprint{Hash: 1, AnyCaller: true}
+	content := quarantiner.Fingerprint{Hash: 1, Wide: true}
 	host := &quarantiner.Quarantiner{MaxSuspects: 8}
 	record := func(number int, at time.Time) {
 		other := &quarantiner.Quarantiner{MaxSuspects: 8}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -20,9 +20,9 @@
 	// crashThreshold is the number of crashes at which a fingerprint is quarantined whatever else was
 	// lost with it. Requests that only ran beside a crashing one are answered between two crashes.
 	crashThreshold = 4
-	// commonCausePeriod is the time within which the crashes of a call of several callers count as one: a
-	// rack or a failure domain that stops ends many replicas at once, and a call that many callers make runs on several of
-	// them. It equals the time for which a suspicion waits for an answer before it is reported.
+	// commonCausePeriod is the time within which the crashes of a wide fingerprint count as one: a shard, a
+	// rack or a failure domain that stops ends several replicas at once, and calls that many callers make, or their repeats,
+	// run on several of them. It equals the time for which a suspicion waits for an answer before it is reported.
 	commonCausePeriod = 500 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept for a fingerprint. More add nothing once it is
 	// quarantined.
@@ -89,7 +89,7 @@
 	suspicion := wigeonspindle.Suspicion{
 		Fingerprint: fingerprint.Hash, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
 		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
-		AnyCaller: fingerprint.AnyCaller,
+		Wide: fingerprint.Wide,
 	}
 	q.store(suspicion, now)
 	return suspicion, true
@@ -232,30 +232,27 @@
 
 // score returns the evidence of several crashes: the sum of their weights, and at least
 // ScoreThreshold for crashThreshold crashes. Simultaneous ones count as one, with the largest of
-// their weights, and so do those of any callers that may have one cause.
+// their weights, and so do those of a wide fingerprint that may have one cause.
 func score(crashes []wigeonspindle.Suspicion) float64 {
 	total, simultaneous, count := 0.0, 0.0, 0
-	var anyCaller []wigeonspindle.Suspicion
+	var wide []wigeonspindle.Suspicion
 	for _, known := range crashes {
 		switch {
+		case known.Wide:
+			wide = append(wide, known)
 		case known.Simultaneous:
 			simultaneous = max(simultaneous, known.Score)
-		case known.AnyCaller:
-			anyCaller = append(anyCaller, known)
 		default:
 			total += known.Score
 			count++
 		}
 	}
-	// All suspicions are valid for the same time, so they expire in the order of the crashes.
-	slices.SortFunc(anyCaller, func(a, b wigeonspindle.Suspicion) int { return a.Expires.Compare(b.Expires) })
-	for len(anyCaller) > 0 {
-		largest, first := 0.0, anyCaller[0].Expires
-		for len(anyCaller) > 0 && anyCaller[0].Expires.Sub(first) < commonCausePeriod {
-			largest = max(largest, anyCaller[0].Score)
-			anyCaller = anyCaller[1:]
+	for _, moment := range moments(wide) {
+		if moment.Simultaneous {
+			simultaneous = max(simultaneous, moment.Score)
+			continue
 		}
-		total += largest
+		total += moment.Score
 		count++
 	}
 	if simultaneous > 0 {
@@ -269,6 +266,24 @@
 	return total
 }
 
+// moments combines crashes that may have one cause, whether the sends were first ones or repeats: each result has the
+// largest weight of its crashes, and is simultaneous if all of them are.
+func moments(crashes []wigeonspindle.Suspicion) []wigeonspindle.Suspicion {
+	// All suspicions are valid for the same time, so they expire in the order of the crashes.
+	slices.SortFunc(crashes, func(a, b wigeonspindle.Suspicion) int { return a.Expires.Compare(b.Expires) })
+	var combined []wigeonspindle.Suspicion
+	for _, crash := range crashes {
+		last := len(combined) - 1
+		if last < 0 || crash.Expires.Sub(combined[last].Expires) >= commonCausePeriod {
+			combined = append(combined, crash)
+			continue
+		}
+		combined[last].Score = max(combined[last].Score, crash.Score)
+		combined[last].Simultaneous = combined[last].Simultaneous && crash.Simultaneous
+	}
+	return combined
+}
+
 // lookup returns the unexpired crashes of a fingerprint.
 func (q *Quarantiner) lookup(fingerprint uint64, now time.Time) []wigeonspindle.Suspicion {
 	known, ok := q.suspects[fingerprint]
--- a/internal/protocol/converter/control.go
+++ b/internal/protocol/converter/control.go
@@ -112,7 +112,7 @@
 func encodeSuspicion(s wigeonspindle.Suspicion, now time.Time) *messenger.Suspicion {
 	return &messenger.Suspicion{
 		Fingerprint: s.Fingerprint, Points: s.Score, Target: s.Target,
-		Remaining: int64(s.Expires.Sub(now)), Cleared: s.Cleared, Crash: s.Crash, Pool: s.Pool, Simultaneous: s.Simultaneous, AnyCaller: s.AnyCaller,
+		Remaining: int64(s.Expires.Sub(now)), Cleared: s.Cleared, Crash: s.Crash, Pool: s.Pool, Simultaneous: s.Simultaneous, AnyCaller: s.Wide,
 	}
 }
 
@@ -120,6 +120,6 @@
 	return &wigeonspindle.Suspicion{
 		Fingerprint: m.GetFingerprint(), Score: decodeScore(m.GetPoints()), Target: m.GetTarget(),
 		Expires: now.Add(time.Duration(m.GetRemaining())), Cleared: m.GetCleared(), Crash: m.GetCrash(), Pool: m.GetPool(), Simultaneous: m.GetSimultaneous(),
-		AnyCaller: m.GetAnyCaller(),
+		Wide: m.GetAnyCaller(),
 	}
 }
--- a/internal/protocol/converter/converter_test.go
+++ b/internal/protocol/converter/converter_test.go
@@ -54,7 +54,7 @@
 		{Acknowledgement: &wigeonspindle.Acknowledgement{Voter: "i1", Era: 2, Seat: 1, Term: 3, Incarnation: "i2"}},
 		{Pull: &wigeonspindle.Pull{After: 7}},
 		{Delta: &wigeonspindle.Delta{From: 6, Config: wigeonspindle.Config{Revision: 7}, Names: []string{"lookup"}}},
-		{Suspicion: &wigeonspindle.Suspicion{Fingerprint: 5, Crash: "t1-1f", Score: 0.5, Pool: "p1", Target: "t1", Expires: now.Add(time.Minute), Simultaneous: true, AnyCaller: true, Cleared: true}},
+		{Suspicion: &wigeonspindle.Suspicion{Fingerprint: 5, Crash: "t1-1f", Score: 0.5, Pool: "p1", Target: "t1", Expires: now.Add(time.Minute), Simultaneous: true, Wide: true, Cleared: true}},
 		{Override: &override},
 	}
 	for i := range envelopes {
--- a/internal/transport/sharer/sharer_test.go
+++ b/internal/transport/sharer/sharer_test.go
@@ -36,7 +36,7 @@
 }
 
 // suspicion is a suspicion that a host reported.
-var suspicion = wigeonspindle.Suspicion{Fingerprint: 12, Score: 1.5, Target: "i", AnyCaller: true, Expires: time.Now().Add(time.Hour)}
+var suspicion = wigeonspindle.Suspicion{Fingerprint: 12, Score: 1.5, Target: "i", Wide: true, Expires: time.Now().Add(time.Hour)}
 
 func updates() []wigeonspindle.RegistryUpdate {
 	return []wigeonspindle.RegistryUpdate{
@@ -81,7 +81,7 @@
 	if got := deployment.Replicas["p"][0]; got.StartUnixMs != 5 || got.Slots != 2 || time.Until(got.WarmAt) < 50*time.Minute {
 		t.Errorf("replica: got %+v, want the one that the relay holds", got)
 	}
-	if got := deployment.Suspicions; len(got) != 1 || got[0].Fingerprint != 12 || got[0].Score != 1.5 || !got[0].AnyCaller || time.Until(got[0].Expires) < 50*time.Minute {
+	if got := deployment.Suspicions; len(got) != 1 || got[0].Fingerprint != 12 || got[0].Score != 1.5 || !got[0].Wide || time.Until(got[0].Expires) < 50*time.Minute {
 		t.Errorf("suspicions: got %+v, want %+v", got, suspicion)
 	}
 	go r.Apply(wigeonspindle.RegistryBatch{Updates: []wigeonspindle.RegistryUpdate{{Subject: wigeonspindle.SubjectReplica, Name: "i", Removed: true}}}, time.Now())
--- a/lease.go
+++ b/lease.go
@@ -95,8 +95,9 @@
 	// Simultaneous reports that the target may have been lost together with others for another
 	// reason. All such suspicions against a fingerprint count as one crash.
 	Simultaneous bool
-	// AnyCaller reports that the fingerprint leaves out the caller.
-	AnyCaller bool
+	// Wide reports that the fingerprint leaves out the caller or the query, and with them what may make a call crash
+	// its target.
+	Wide bool
 	// Cleared withdraws the suspicion.
 	Cleared bool
 }
