exchanger: treat a response with a status code outside 100 to 599 as malformed

With 600 to 999 the caller gets that status and the replica's seal.

Cause: http.ReadResponse accepts any three digits that are no negative number, and the dialect passes the code on. Callers.writeBody gives it to http.ResponseWriter.WriteHeader, which panics below 100 (the stack of the test names writeBody); only the HTTP library recovers from that.

Change: the connection checks the code where it reads the response. One outside 100 to 599 is an error like a malformed status line (2000 OK): the connection to the replica is closed and the send may have run, so a look-up goes to another replica and an order is answered with 502.

Read for other panics on the way to callers: the other codes that handlers write are constants.

--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -39,6 +39,10 @@
 	idleMargin = time.Second
 	// maxErrorBytes bounds the text of an error about a malformed response, which quotes it. Errors are logged.
 	maxErrorBytes = 512
+	// Status codes outside minStatus to maxStatus are invalid (RFC 9110, section 15), and net/http panics when a handler
+	// writes one below 100.
+	minStatus = 100
+	maxStatus = 599
 	// defaultIdleTimeout applies to a replica that states no idle timeout.
 	defaultIdleTimeout = 30 * time.Second
 	// maxCallsPerConnection bounds the calls that a connection carries before it is replaced, and with them the
@@ -308,7 +312,10 @@
 		if err != nil {
 			return nil, nil, errors.Wrap(boundError(err), "read response")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		switch status := response.StatusCode; {
+		case status < minStatus || status > maxStatus:
+			return nil, nil, errors.Newf("read response: status code %03d is outside %d to %d", status, minStatus, maxStatus)
+		case status < http.StatusOK:
 			continue
 		}
 		c.limit.remaining = maxBodyBytes + maxFramingBytes
