--- a/internal/coordination/gatherer/split.go
+++ b/internal/coordination/gatherer/split.go
@@ -15,7 +15,10 @@
 
 // choosePool returns the pool for the next call of a route.
 func (g *Gatherer) choosePool(route *wigeonspindle.Route) string {
-	if len(route.Split) == 1 {
+	switch len(route.Split) {
+	case 0:
+		return "" // A route that names no pool has no replicas.
+	case 1:
 		return route.Split[0].Pool
 	}
 	if g.splitters == nil {
