quarantiner: let a trial end the quarantine of calls that crash nothing

Cause: the quarantine is meant for one call that crashes its replicas, and applies as well to fingerprints of different calls and to evidence from a single moment.

Change, for fingerprints that leave out the caller or the query and for crashes of one moment: - A host that refuses such a call claims a trial: an entry in the registry that is only written if there is none of its name, so that one host has it. That host sends one matching call, one part at a time, with no repeat or hedge until one answers. A trial whose call reached no replica is used again. - Retry-After is the time until the next trial. - A host that has just had such calls answered does not take over the suspicion of another host, and withdraws it. The quarantine of the exact call after crashes at several moments is as before.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"slices"
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
@@ -23,6 +24,11 @@
 	// WatchUntil is until when the replica of the last result may end because of it; zero when it is not to blame
 	// then.
 	WatchUntil time.Time
+	// Trials are the claims under which a quarantined call is sent. Its replicas are tried one after the other until one
+	// answers, and none after a send that may have run.
+	Trials []wigeonspindle.Suspicion
+	// TrialClaims are the trials to claim, so that a later call is sent although it is quarantined.
+	TrialClaims []wigeonspindle.Suspicion
 	// Noticed reports that the replica of the last result has said something new about itself.
 	Noticed bool
 
@@ -117,7 +123,7 @@
 // isolated reports whether the loss of a replica is not explained by the loss of others to which the call was
 // sent at the same time.
 func (c *CallState) isolated(sent Send) bool {
-	return len(c.parts) == 1 || c.holding() || sent.Kind != wigeonspindle.SendFirst
+	return len(c.parts) == 1 || c.holding() || c.onTrial() || sent.Kind != wigeonspindle.SendFirst
 }
 
 // Tick starts the hedges and retries that are due, and ends the call at its deadlines.
@@ -224,6 +230,12 @@
 	return usable
 }
 
+// usablePool reports whether the call has a part in a pool that has a usable replica.
+func (c *CallState) usablePool(pool string, now time.Time) bool {
+	return slices.ContainsFunc(c.parts, func(p part) bool { return p.pool == pool }) &&
+		c.gatherer.Selector.HasUsableReplica(c.gatherer.Deployment, pool, c.expectedLatency(now), now)
+}
+
 // queueWaits returns the expected time of each part in the queue of its replica.
 func (c *CallState) queueWaits(now time.Time) []time.Duration {
 	expected := c.expectedLatency(now)
@@ -251,6 +263,7 @@
 		c.DiscardSend(send)
 	}
 	step.Sends = nil
+	c.endTrial(now)
 	switch {
 	case sufficient:
 		step.Reply = c.successReply()
--- a/internal/coordination/gatherer/canary.go
+++ b/internal/coordination/gatherer/canary.go
@@ -18,7 +18,7 @@
 	quarantine := c.gatherer.Correlator.Quarantiner
 	suspectedPools := make(map[string]bool)
 	for _, fingerprint := range c.fingerprints {
-		if quarantine.State(fingerprint.Hash, now) != quarantiner.Suspect {
+		if quarantine.State(fingerprint.Hash, now) == quarantiner.Clear {
 			continue
 		}
 		for _, suspicion := range quarantine.SuspicionsOf(fingerprint.Hash, now) {
@@ -53,7 +53,7 @@
 		index := c.heldParts[0]
 		c.heldParts = c.heldParts[1:]
 		advanced = true
-		if c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero() {
+		if c.maySendHeld(now) {
 			c.sendPart(index, wigeonspindle.SendFirst, now, step)
 		} else {
 			c.failPart(&c.parts[index])
@@ -64,6 +64,25 @@
 	}
 }
 
+// maySendHeld reports whether a held part may be sent.
+func (c *CallState) maySendHeld(now time.Time) bool {
+	if c.onTrial() {
+		return c.answeredParts > 0 || !c.mayHaveRun
+	}
+	return c.gatherer.Correlator.QuarantinedUntil(c.fingerprints, now).IsZero()
+}
+
+// onTrial reports whether the call was quarantined when it was sent.
+func (c *CallState) onTrial() bool { return len(c.Trials) > 0 }
+
+// endTrial returns the trials of a call that no replica can have run.
+func (c *CallState) endTrial(now time.Time) {
+	running := slices.ContainsFunc(c.parts, func(p part) bool { return len(p.inFlight) > 0 })
+	if c.onTrial() && !c.mayHaveRun && !running {
+		c.gatherer.Correlator.ReturnTrials(c.Trials, now)
+	}
+}
+
 // hasUndecidedSentPart reports whether a part that is not held has neither been answered nor failed.
 func (c *CallState) hasUndecidedSentPart() bool {
 	for i := range c.parts {
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -166,10 +166,12 @@
 		state.parts[i].pool = pool
 		g.Budget.RecordCall(pool, now)
 	}
-	if until := g.Correlator.QuarantinedUntil(state.fingerprints, now); !until.IsZero() {
+	admission := g.Correlator.Admit(state.fingerprints, func(pool string) bool { return state.usablePool(pool, now) }, now)
+	state.TrialClaims = admission.Claims
+	if !admission.RefusedUntil.IsZero() {
 		state.decided = true
 		reply := state.refusalReply(wigeonspindle.CodeQuarantined, "the call has crashed replicas", now)
-		reply.RetryAfter = until.Sub(now)
+		reply.RetryAfter = max(reply.RetryAfter, admission.RefusedUntil.Sub(now))
 		return state, Step{Reply: reply}
 	}
 	spare := state.usableParts(now) - state.requiredParts
@@ -192,6 +194,8 @@
 			state.SkippedParts++
 		}
 	}
+	state.Trials = admission.Trials
+	g.Correlator.UseTrials(state.Trials)
 	state.holdParts(now)
 	if state.holding() {
 		state.advanceHeldParts(now, &step)
@@ -274,10 +278,11 @@
 }
 
 // UpdateDeployment sets the current state, accepts the suspicions of other hosts and drops the state of routes, pools
-// and replicas that no longer exist. HandleDeployment is then called for each running call.
-func (g *Gatherer) UpdateDeployment(deployment *wigeonspindle.DeploymentState, known map[string]bool, now time.Time) {
+// and replicas that no longer exist. It returns the suspicions that answers at this host refute. HandleDeployment is then
+// called for each running call.
+func (g *Gatherer) UpdateDeployment(deployment *wigeonspindle.DeploymentState, known map[string]bool, now time.Time) []wigeonspindle.Suspicion {
 	if deployment.Catalog == nil {
-		return
+		return nil
 	}
 	deployment = withFormerPools(deployment, g.Deployment)
 	g.Deployment = deployment
@@ -293,7 +298,7 @@
 	g.Throttler.Prune(used)
 	g.Selector.Retain(known, now)
 	g.Correlator.RetainTargets(known, now)
-	g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
+	return g.Correlator.Quarantiner.Sync(deployment.Suspicions, now)
 }
 
 // withFormerPools adds the pools of an earlier state that the configuration no longer names but that still have replicas.
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -230,7 +230,7 @@
 // hedgeTime returns when a part is hedged, or zero when it is not.
 func (c *CallState) hedgeTime(p *part, now time.Time) time.Time {
 	if c.Route.Class == wigeonspindle.ClassOnce || len(p.inFlight) != 1 || p.refusals >= maxSendsPerPart ||
-		p.possibleRuns+1 >= c.Route.Attempts || c.brokenSends >= serialRetryThreshold && c.answeredParts == 0 {
+		p.possibleRuns+1 >= c.Route.Attempts || (c.onTrial() || c.brokenSends >= serialRetryThreshold) && c.answeredParts == 0 {
 		return time.Time{}
 	}
 	if c.gatherer.Budget.Utilization(p.pool, c.budgetShareCount(), now) >= maxHedgeBudgetUse ||
--- a/internal/coordination/gatherer/shared_path_test.go
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -71,3 +71,35 @@
 		}
 	}
 }
+
+// claimTrial starts a search that is refused as quarantined and enters the trial that it claims.
+func (h *harness) claimTrial(t *testing.T, call *wigeonspindle.Call) {
+	t.Helper()
+	state, step := h.StartCall(call, h.route, call.Arrived)
+	if step.Reply == nil || step.Reply.Refusal.Code != wigeonspindle.CodeQuarantined || len(state.TrialClaims) == 0 {
+		t.Fatalf("search of a quarantined path: got %+v with the claims %+v, want a refusal and a claim", step.Reply, state.TrialClaims)
+	}
+	h.Correlator.Quarantiner.Sync(append(h.Correlator.Quarantiner.Suspicions(call.Arrived), state.TrialClaims...), call.Arrived)
+}
+
+// TestTrialOfSearch guards against a trial that crashes a replica of every shard, and against one that is not complete
+// although its replicas answer.
+func TestTrialOfSearch(t *testing.T) {
+	h := newHarness(8)
+	h.Deployment = h.deployment
+	inShard := func(replica *wigeonspindle.Replica) bool { return replica.Pool == "shard-3" }
+	for i, after := range []time.Duration{0, 5 * time.Second} {
+		h.play(t, search("10.0.0.1", fmt.Sprint("lost", i), after), inShard)
+	}
+	h.claimTrial(t, search("10.0.0.2", "first", 15*time.Second))
+	if got, _ := h.play(t, search("10.0.0.3", "second", 15*time.Second), all); got != 1 {
+		t.Errorf("replicas crashed by a trial: got %d, want 1", got)
+	}
+	h.claimTrial(t, search("10.0.0.4", "third", 27*time.Second))
+	if _, reply := h.play(t, search("10.0.0.5", "fourth", 27*time.Second), none); reply.Merged == nil || reply.Merged.MissingShards != 0 {
+		t.Errorf("trial whose replicas answer: got %+v, want an answer without missing shards", reply)
+	}
+	if _, reply := h.play(t, search("10.0.0.6", "fifth", 28*time.Second), none); reply.Merged == nil {
+		t.Errorf("search after a trial that was answered: got %+v, want an answer", reply)
+	}
+}
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -25,9 +25,12 @@
 	Quarantiner *Quarantiner
 	// SuspicionTTL is how long a suspicion lasts without a further crash.
 	SuspicionTTL time.Duration
+	// Host is the name of this host in the claims of trials.
+	Host string
 
 	failedSends map[string][]failedSend // failedSends holds those of each target, the oldest first.
 	callCounts  map[Fingerprint]int     // callCounts counts the failed sends of each call by its first fingerprint.
+	claims      map[string]trialClaim   // claims holds the unused trials that this host has claimed, by name.
 }
 
 // failedSend is a send that ended without success although the target may have run it.
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -56,7 +56,8 @@
 
 	suspects   map[uint64][]wigeonspindle.Suspicion // suspects holds the crashes of each fingerprint, the oldest first.
 	shared     map[string]bool                      // shared holds the names of the suspicions of the last Sync.
-	crashCount uint64                               // crashCount numbers the crashes that this host has seen.
+	trials     map[uint64][]wigeonspindle.Suspicion // trials holds the claimed trials of each fingerprint in the last Sync.
+	lastNumber uint64                               // lastNumber is the last result of nextNumber.
 	successes  recency[uint64]
 	answers    recency[answerKey]
 }
@@ -82,12 +83,8 @@
 			return known, false
 		}
 	}
-	if q.crashCount == 0 {
-		q.crashCount = uint64(now.UnixNano()) // Differs from the numbers of an earlier run of the host.
-	}
-	q.crashCount++
 	suspicion := wigeonspindle.Suspicion{
-		Fingerprint: fingerprint.Hash, Crash: fmt.Sprintf("%s-%x", target, q.crashCount), Score: 1 / float64(max(concurrentAttempts, 1)),
+		Fingerprint: fingerprint.Hash, Crash: fmt.Sprintf("%s-%x", target, q.nextNumber(now)), Score: 1 / float64(max(concurrentAttempts, 1)),
 		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
 		Wide: fingerprint.Wide,
 	}
@@ -95,14 +92,23 @@
 	return suspicion, true
 }
 
+// nextNumber returns a number that no other crash or trial of this host has, nor one of an earlier run of it.
+func (q *Quarantiner) nextNumber(now time.Time) uint64 {
+	if q.lastNumber == 0 {
+		q.lastNumber = uint64(now.UnixNano())
+	}
+	q.lastNumber++
+	return q.lastNumber
+}
+
 // Merge applies a suspicion of another host, which may arrive any number of times. A quarantined
-// fingerprint is not cleared.
+// fingerprint is cleared only if it may end.
 func (q *Quarantiner) Merge(received wigeonspindle.Suspicion, now time.Time) {
 	known := q.lookup(received.Fingerprint, now)
 	index := slices.IndexFunc(known, func(s wigeonspindle.Suspicion) bool { return s.Crash == received.Crash })
 	switch {
 	case received.Cleared:
-		if index >= 0 && score(known) < ScoreThreshold {
+		if index >= 0 && (score(known) < ScoreThreshold || q.mayEnd(received.Fingerprint, known)) {
 			q.remove(received.Fingerprint, index)
 		}
 	case index < 0 && received.Score > 0 && now.Before(received.Expires):
@@ -113,13 +119,22 @@
 
 // Sync applies the suspicions that the registry holds now. Those that it held before and no longer
 // holds are withdrawn. One that this host has withdrawn does not return while the registry still
-// holds it.
-func (q *Quarantiner) Sync(held []wigeonspindle.Suspicion, now time.Time) {
+// holds it. Sync returns those that answers at this host refute, to be withdrawn at the other hosts.
+func (q *Quarantiner) Sync(held []wigeonspindle.Suspicion, now time.Time) []wigeonspindle.Suspicion {
+	var refuted []wigeonspindle.Suspicion
 	shared := make(map[string]bool, len(held))
+	trials := make(map[uint64][]wigeonspindle.Suspicion)
 	for _, suspicion := range held {
 		name := suspicion.Name()
 		shared[name] = true
-		if !q.shared[name] {
+		switch {
+		case suspicion.Trial():
+			trials[suspicion.Fingerprint] = append(trials[suspicion.Fingerprint], suspicion)
+		case q.shared[name]:
+		case q.recentlyAnswered(suspicion.Fingerprint, suspicion.Pool, now):
+			suspicion.Cleared = true
+			refuted = append(refuted, suspicion)
+		default:
 			q.Merge(suspicion, now)
 		}
 	}
@@ -129,15 +144,21 @@
 			q.Merge(suspicion, now)
 		}
 	}
-	q.shared = shared
+	q.shared, q.trials = shared, trials
+	return refuted
 }
 
-// RecordCompletion withdraws the suspicions against a suspect fingerprint whose request completed on
+// RecordCompletion withdraws the suspicions against a fingerprint whose request completed on
 // a target of their pool while no other attempt ran there. It returns them, to be sent to the other
-// hosts.
+// hosts, with the trials of a fingerprint that is clear then. A quarantined fingerprint is cleared only if it may end.
 func (q *Quarantiner) RecordCompletion(fingerprint uint64, pool, target string, now time.Time) []wigeonspindle.Suspicion {
-	if q.State(fingerprint, now) != Suspect {
+	switch q.State(fingerprint, now) {
+	case Clear:
 		return nil
+	case Quarantined:
+		if !q.mayEnd(fingerprint, q.suspects[fingerprint]) {
+			return nil
+		}
 	}
 	var withdrawn, kept []wigeonspindle.Suspicion
 	for _, suspicion := range q.suspects[fingerprint] {
@@ -150,10 +171,24 @@
 	}
 	if q.suspects[fingerprint] = kept; len(kept) == 0 {
 		delete(q.suspects, fingerprint)
+		for _, trial := range q.trials[fingerprint] {
+			trial.Cleared = true
+			withdrawn = append(withdrawn, trial)
+		}
 	}
 	return withdrawn
 }
 
+// mayEnd reports whether an answer ends the quarantine of a fingerprint: it does where the fingerprint is of different
+// calls, or where the hosts let a call through to find out.
+func (q *Quarantiner) mayEnd(fingerprint uint64, crashes []wigeonspindle.Suspicion) bool {
+	return len(q.trials[fingerprint]) > 0 || allWide(crashes)
+}
+
+func allWide(crashes []wigeonspindle.Suspicion) bool {
+	return !slices.ContainsFunc(crashes, func(s wigeonspindle.Suspicion) bool { return !s.Wide })
+}
+
 // State returns the current state of a fingerprint.
 func (q *Quarantiner) State(fingerprint uint64, now time.Time) State {
 	switch total := q.Score(fingerprint, now); {
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -218,7 +218,7 @@
 	d.serving = balancer.Serves(deployment, d.Self)
 	replicaIDs := deployment.ReplicaIDs()
 	now := d.Clock.Now()
-	d.Gatherer.UpdateDeployment(deployment, replicaIDs, now)
+	d.withdrawRefuted(d.Gatherer.UpdateDeployment(deployment, replicaIDs, now), now)
 	d.removeExpiredSuspicions(deployment, now)
 	d.scheduleUnlistedReports(now)
 	d.pool.CloseAfterUse, d.Gatherer.Standby = !d.serving, !d.serving
@@ -284,6 +284,10 @@
 	}
 	state, step := d.Gatherer.StartCall(p.call, p.route, now)
 	p.state = state
+	d.claimTrials(state.TrialClaims, now)
+	for _, trial := range state.Trials {
+		d.Logger.Info("sending a quarantined call as a trial", "call", p.call.ID, "fingerprint", trial.FingerprintName(), "trial", trial.Crash, "claim", trial.Target)
+	}
 	d.running[p] = true
 	d.execute(p, step, now)
 }
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// unlistedReportStagger is the time between the reports of two hosts of what the registry lacks since it came back
-	// from a copy. Hosts that find it listed by then report nothing.
-	unlistedReportStagger = 50 * time.Millisecond
-	// maxUnlistedReportDelay bounds that time for large fleets: the hosts that know it may be replaced.
-	maxUnlistedReportDelay = time.Second
+	// reportStagger is the time between the reports of two hosts of what all of them may report: what the registry lacks
+	// since it came back from a copy, trials, and what their answers refute. Hosts that find it done by then report nothing.
+	reportStagger = 50 * time.Millisecond
+	// maxReportStagger bounds that time for large fleets: the hosts that know it may be replaced.
+	maxReportStagger = time.Second
 	// unlistedReportInterval is the least time between two reports of one host, in which it learns that the
 	// registry holds what it has reported.
 	unlistedReportInterval = 2 * time.Second
@@ -89,11 +89,7 @@
 	if len(d.deployment.UnlistedSuspicions) == 0 || d.unlistedReportDue {
 		return
 	}
-	rank := slices.IndexFunc(d.deployment.ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == d.Self.Name })
-	if rank < 0 {
-		rank = len(d.deployment.ServingPeers)
-	}
-	at := now.Add(min(time.Duration(rank)*unlistedReportStagger, maxUnlistedReportDelay))
+	at := now.Add(d.reportDelay())
 	if next := d.unlistedReportedAt.Add(unlistedReportInterval); at.Before(next) {
 		at = next
 	}
@@ -105,3 +101,37 @@
 		}
 	})
 }
+
+// reportDelay returns the time for which this host waits, so that another one may report first.
+func (d *Dispatcher) reportDelay() time.Duration {
+	rank := slices.IndexFunc(d.deployment.ServingPeers, func(peer wigeonspindle.Peer) bool { return peer.Name == d.Self.Name })
+	if rank < 0 {
+		rank = len(d.deployment.ServingPeers)
+	}
+	return min(time.Duration(rank)*reportStagger, maxReportStagger)
+}
+
+// claimTrials claims trials of quarantined calls, unless another host does so first.
+func (d *Dispatcher) claimTrials(claims []wigeonspindle.Suspicion, now time.Time) {
+	for _, claim := range claims {
+		d.timers.AddOnce(now.Add(d.reportDelay()), func(time.Time) {
+			if !d.isShared(claim) {
+				d.Logger.Info("claiming a trial of a quarantined call", "fingerprint", claim.FingerprintName(), "trial", claim.Crash, "claim", claim.Target)
+				d.ReportSuspicion(claim)
+			}
+		})
+	}
+}
+
+// withdrawRefuted withdraws suspicions that answers at this host refute, unless another host does so first.
+func (d *Dispatcher) withdrawRefuted(refuted []wigeonspindle.Suspicion, now time.Time) {
+	for _, suspicion := range refuted {
+		d.timers.AddOnce(now.Add(d.reportDelay()), func(time.Time) {
+			if d.isShared(suspicion) {
+				d.Logger.Info("withdrawing the suspicion of another host: the pool has answered such calls", "fingerprint", suspicion.FingerprintName(),
+					"crash", suspicion.Crash, "pool", suspicion.Pool)
+				d.ReportSuspicion(suspicion)
+			}
+		})
+	}
+}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -115,7 +115,7 @@
 				Host: s.Settings.Name, Domain: s.Settings.Domain, Random: random, Noticer: noticer.Noticer{DrainPeriod: s.Settings.DrainPeriod.Value()},
 			},
 			Throttler:    &throttler.Throttler{Random: random},
-			Correlator:   &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: maxSuspects}, SuspicionTTL: suspicionTTL},
+			Correlator:   &quarantiner.CrashCorrelator{Quarantiner: &quarantiner.Quarantiner{MaxSuspects: maxSuspects}, SuspicionTTL: suspicionTTL, Host: s.Settings.Name},
 			Budget:       &budgeter.Budgeter{Ratio: s.Settings.RetryBudgetRatio, Slack: s.Settings.RetryBudgetSlack, Window: s.Settings.RetryBudgetWindow.Value()},
 			NewEstimator: func() wigeonspindle.LatencyEstimator { return &hedger.Estimator{} },
 		},
--- a/lease.go
+++ b/lease.go
@@ -80,7 +80,7 @@
 
 // Suspicion reports one crash as evidence that a fingerprint crashes targets. Each crash is a
 // suspicion of its own, so that hosts can add up what they have seen and none replaces the evidence
-// of another.
+// of another. One without a score claims a trial: Crash is the name of the trial, and Target that of the claim.
 type Suspicion struct {
 	Fingerprint uint64
 	Crash       string // Crash identifies the crash among those of all hosts.
@@ -102,6 +102,9 @@
 	Cleared bool
 }
 
+// Trial reports that the suspicion is the claim of a host to let one call with a quarantined fingerprint through.
+func (s Suspicion) Trial() bool { return s.Score == 0 && !s.Cleared }
+
 // Name returns the name under which hosts share the suspicion.
 func (s Suspicion) Name() string { return s.FingerprintName() + "/" + s.Crash }
 
--- a/registry.go
+++ b/registry.go
@@ -45,7 +45,7 @@
 	// RenewLease extends a lease. It returns ErrLeaseExpired when the lease has ended.
 	RenewLease(ctx context.Context, lease uint64) error
 	// ReportSuspicion enters a suspicion, or removes it when it is cleared. Expired ones stay until
-	// they are removed.
+	// they are removed. The claim of a trial is entered only if there is none of its name.
 	ReportSuspicion(ctx context.Context, suspicion Suspicion) error
 	// RevokeLease ends a lease and removes the entries made under it.
 	RevokeLease(ctx context.Context, lease uint64) error
