quarantiner: count a shard's loss once only for the path of a call

All 39 replicas of the searches crash within 150 ms, so the same request of other callers was only suspected, and each host sent it once more when the replicas were back.

Cause: the loss of a shard, for which the rule is meant, is told from a call that crashes whatever runs it by the shards that the call lost, not by the time alone.

Change: within a moment, only the loss of repeats of a call that has lost replicas of one shard adds nothing, and only against fingerprints without the query. A call that has lost replicas of several shards, and the same content from another caller, count as before the change. A trial ends the quarantine where that is wrong.

Result: TestCrashingSearchOfManyCallers failed before (one more replica crashed, by another caller and by one with other terms); TestShardLostAtOnce still passes. In the existing tests the losses are named now where they were true or false.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -40,13 +40,15 @@
 	failedParts   int
 	mayHaveRun    bool
 	decided       bool
-	heldParts     []int     // heldParts are the parts of a suspected call that wait for the answer to another one.
-	resumeAt      time.Time // resumeAt is when a call with held parts may send again after a connection broke.
-	nextTick      time.Time // nextTick is when Tick must be called; it may be earlier than necessary.
-	brokenSends   int       // brokenSends counts the sends whose connection broke.
-	Hedges        int       // Hedges and Retries count the sends after the first of each part.
-	Retries       int
-	SkippedParts  int // SkippedParts counts the parts that were not sent, to relieve overloaded shards.
+	heldParts     []int // heldParts are the parts of a suspected call that wait for the answer to another one.
+	// suspectedJustNow reports that the parts are held because of a crash that may have the same cause as the next one.
+	suspectedJustNow bool
+	resumeAt         time.Time // resumeAt is when a call with held parts may send again after a connection broke.
+	nextTick         time.Time // nextTick is when Tick must be called; it may be earlier than necessary.
+	brokenSends      int       // brokenSends counts the sends whose connection broke.
+	Hedges           int       // Hedges and Retries count the sends after the first of each part.
+	Retries          int
+	SkippedParts     int // SkippedParts counts the parts that were not sent, to relieve overloaded shards.
 }
 
 // HandleResult processes the result of a send and returns what to do next.
@@ -103,27 +105,51 @@
 		correlator.RecordReachable(replica, sent.SentAt)
 		if exchange.Response.Failed() {
 			// The replica may crash right after the answer.
-			c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolated(sent), now)
+			c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent, now), now)
 		}
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolated(sent), now)
+		c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent, now), now)
 		if c.holding() {
 			c.resumeAt = now.Add(c.crashCheckDelay(now))
 			c.nextTick = earlier(c.nextTick, c.resumeAt)
 		}
 	case exchange.Code == wigeonspindle.CodeCancelled && exchange.Sent && c.parts[sent.PartIndex].response == nil:
-		c.WatchUntil = correlator.RecordAbandonedSend(fingerprints, pool, replica, c.isolated(sent), c.HardDeadline, now)
+		c.WatchUntil = correlator.RecordAbandonedSend(fingerprints, pool, replica, c.isolation(sent, now), c.HardDeadline, now)
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return c.gatherer.recordLoss(sent.Replica, exchange.Reachability, now)
 	}
 	return nil
 }
 
-// isolated reports whether the loss of a replica is not explained by the loss of others to which the call was
-// sent at the same time.
-func (c *CallState) isolated(sent Send) bool {
-	return len(c.parts) == 1 || c.holding() || c.onTrial() || sent.Kind != wigeonspindle.SendFirst
+// isolation returns how far the loss of the replica of a send is explained by the loss of others at the same time.
+func (c *CallState) isolation(sent Send, now time.Time) quarantiner.Isolation {
+	c.parts[sent.PartIndex].lost = true
+	switch {
+	case len(c.parts) == 1:
+		return quarantiner.Isolated
+	case c.holding() || c.onTrial():
+		if c.suspectedJustNow {
+			return quarantiner.SameShard
+		}
+		return quarantiner.Isolated
+	case sent.Kind == wigeonspindle.SendFirst:
+		return quarantiner.Simultaneous
+	case c.lostParts() > 1:
+		return quarantiner.Isolated
+	}
+	return quarantiner.SameShard
+}
+
+// lostParts returns the number of parts with a send that failed although its replica may have run it.
+func (c *CallState) lostParts() int {
+	count := 0
+	for i := range c.parts {
+		if c.parts[i].lost {
+			count++
+		}
+	}
+	return count
 }
 
 // Tick starts the hedges and retries that are due, and ends the call at its deadlines.
--- a/internal/coordination/gatherer/canary.go
+++ b/internal/coordination/gatherer/canary.go
@@ -24,6 +24,7 @@
 		for _, suspicion := range quarantine.SuspicionsOf(fingerprint.Hash, now) {
 			suspectedPools[suspicion.Pool] = true
 		}
+		c.suspectedJustNow = c.suspectedJustNow || quarantine.JustCrashed(fingerprint.Hash, c.gatherer.Correlator.SuspicionTTL, now)
 	}
 	if len(suspectedPools) == 0 {
 		return
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -22,6 +22,7 @@
 	roundDelayEnd    time.Time // roundDelayEnd is the earliest start of the next round.
 	waitingForOther  bool      // waitingForOther reports that the retry waits for the retry of another part.
 	failed           bool
+	lost             bool // lost reports that a send failed although its replica may have run it.
 	lastRefused      bool // lastRefused reports that the last failure was a refusal by a replica.
 }
 
--- a/internal/coordination/gatherer/shared_path_test.go
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -103,3 +103,21 @@
 		t.Errorf("search after a trial that was answered: got %+v, want an answer", reply)
 	}
 }
+
+// TestCrashingSearchOfManyCallers guards against a search that crashes replicas of all shards at one moment and is sent
+// again for another caller, or with other terms, when they are back.
+func TestCrashingSearchOfManyCallers(t *testing.T) {
+	for name, again := range map[string]*wigeonspindle.Call{
+		"another caller":                  search("10.0.0.2", "crash", 20*time.Second),
+		"another caller with other terms": search("10.0.0.2", "other", 20*time.Second),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(8)
+			h.Deployment = h.deployment
+			h.play(t, search("10.0.0.1", "crash", 0), all)
+			if got, reply := h.play(t, again, all); got != 0 || reply.Refusal.Code != wigeonspindle.CodeQuarantined {
+				t.Errorf("replicas crashed by the next call: got %d with %+v, want 0 and code quarantined", got, reply)
+			}
+		})
+	}
+}
--- a/internal/coordination/quarantiner/correlator.go
+++ b/internal/coordination/quarantiner/correlator.go
@@ -33,11 +33,30 @@
 	claims      map[string]trialClaim   // claims holds the unused trials that this host has claimed, by name.
 }
 
+// Isolation says how far the loss of a target is explained by the loss of others at the same time.
+type Isolation uint8
+
+// Isolations of a loss.
+const (
+	// Simultaneous losses are those of the first sends to several targets.
+	Simultaneous Isolation = iota
+	// SameShard losses are those of repeats while all targets that the call has lost are of one shard. They are isolated for
+	// the call itself. The other calls of its path would lose them as well if the shard failed.
+	SameShard
+	// Isolated losses are those of sends that were made alone, or after the loss of targets of several shards.
+	Isolated
+)
+
+// appliesTo reports whether a loss counts as an isolated one for a fingerprint.
+func (i Isolation) appliesTo(fingerprint Fingerprint) bool {
+	return i == Isolated || i == SameShard && !fingerprint.AnyQuery
+}
+
 // failedSend is a send that ended without success although the target may have run it.
 type failedSend struct {
 	fingerprints []Fingerprint // fingerprints are those of the call; the first identifies it.
 	pool         string
-	isolated     bool
+	isolation    Isolation
 	// abandoned reports that the host gave the send up, so that the target may still run it.
 	abandoned bool
 	// reachedSince reports that the target has accepted a connection or answered since the end of the send. It has
@@ -48,19 +67,18 @@
 }
 
 // RecordFailedSend records that a send ended without success although the target may have run it: with an answer
-// that is no success, or with a connection that broke. Isolated means that the request has only one part or that
-// this part was sent again, so that its loss is not explained by the simultaneous loss of several targets. It returns
-// until when the end of the target would be attributed to the send.
-func (c *CrashCorrelator) RecordFailedSend(fingerprints []Fingerprint, pool, target string, isolated bool, now time.Time) time.Time {
-	return c.record(target, failedSend{fingerprints: fingerprints, pool: pool, isolated: isolated, endedAt: now, until: now.Add(crashWindow)})
+// that is no success, or with a connection that broke. It returns until when the end of the target would be attributed
+// to the send.
+func (c *CrashCorrelator) RecordFailedSend(fingerprints []Fingerprint, pool, target string, isolation Isolation, now time.Time) time.Time {
+	return c.record(target, failedSend{fingerprints: fingerprints, pool: pool, isolation: isolation, endedAt: now, until: now.Add(crashWindow)})
 }
 
 // RecordAbandonedSend records that the host gave up a send that the target may run until its deadline. The other
 // parameters and the result are those of RecordFailedSend.
-func (c *CrashCorrelator) RecordAbandonedSend(fingerprints []Fingerprint, pool, target string, isolated bool, deadline, now time.Time) time.Time {
+func (c *CrashCorrelator) RecordAbandonedSend(fingerprints []Fingerprint, pool, target string, isolation Isolation, deadline, now time.Time) time.Time {
 	run := min(max(deadline.Sub(now), 0), maxAbandonedRun)
 	return c.record(target, failedSend{
-		fingerprints: fingerprints, pool: pool, isolated: isolated, abandoned: true, endedAt: now, until: now.Add(run + crashWindow),
+		fingerprints: fingerprints, pool: pool, isolation: isolation, abandoned: true, endedAt: now, until: now.Add(run + crashWindow),
 	})
 }
 
@@ -159,7 +177,7 @@
 	})
 	suspicions := make([]wigeonspindle.Suspicion, 0, len(suspects))
 	for fingerprint, send := range suspects {
-		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, send.pool, target, len(contents), send.isolated, c.SuspicionTTL, now); added {
+		if suspicion, added := c.Quarantiner.RecordCrash(fingerprint, send.pool, target, len(contents), send.isolation.appliesTo(fingerprint), c.SuspicionTTL, now); added {
 			suspicions = append(suspicions, suspicion)
 		}
 	}
--- a/internal/coordination/quarantiner/fingerprint.go
+++ b/internal/coordination/quarantiner/fingerprint.go
@@ -15,6 +15,8 @@
 	// Wide reports that the hash leaves out the caller or the query, so that different calls with it may be in progress at
 	// the same time.
 	Wide bool
+	// AnyQuery reports that the hash leaves out the query.
+	AnyQuery bool
 }
 
 // Fingerprints returns the fingerprints of a call, the most specific first. A call that crashes replicas may come again from
@@ -29,8 +31,8 @@
 	}
 	if path, _, ok := strings.Cut(call.RequestURI, "?"); ok {
 		fingerprints = append(fingerprints,
-			Fingerprint{Hash: hash(body, call.Caller, call.Method, call.Authority, path), Wide: true},
-			Fingerprint{Hash: hash(body, call.Method, call.Authority, path), Wide: true})
+			Fingerprint{Hash: hash(body, call.Caller, call.Method, call.Authority, path), Wide: true, AnyQuery: true},
+			Fingerprint{Hash: hash(body, call.Method, call.Authority, path), Wide: true, AnyQuery: true})
 	}
 	return fingerprints
 }
--- a/internal/coordination/quarantiner/fingerprint_test.go
+++ b/internal/coordination/quarantiner/fingerprint_test.go
@@ -33,7 +33,7 @@
 // at the same time for another reason.
 func TestCallers(t *testing.T) {
 	crash := func(c *quarantiner.CrashCorrelator, caller, target string, at time.Time) {
-		c.RecordFailedSend(callOf(caller), "p", target, true, at)
+		c.RecordFailedSend(callOf(caller), "p", target, quarantiner.Isolated, at)
 		c.RecordUnreachable(target, at)
 	}
 	for _, test := range []struct {
@@ -48,7 +48,7 @@
 		{"several callers at each replica", func(c *quarantiner.CrashCorrelator) {
 			for i, target := range []string{"t1", "t2"} {
 				at := epoch.Add(time.Duration(i) * time.Second)
-				c.RecordFailedSend(callOf(fmt.Sprintf("10.0.1.%d", i)), "p", target, true, at)
+				c.RecordFailedSend(callOf(fmt.Sprintf("10.0.1.%d", i)), "p", target, quarantiner.Isolated, at)
 				crash(c, fmt.Sprintf("10.0.0.%d", i), target, at)
 			}
 		}, map[string]bool{"10.0.0.9": true}},
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -20,9 +20,9 @@
 	// crashThreshold is the number of crashes at which a fingerprint is quarantined whatever else was
 	// lost with it. Requests that only ran beside a crashing one are answered between two crashes.
 	crashThreshold = 4
-	// commonCausePeriod is the time within which the crashes of a wide fingerprint count as one: a shard, a
-	// rack or a failure domain that stops ends several replicas at once, and calls that many callers make, or their repeats,
-	// run on several of them. It equals the time for which a suspicion waits for an answer before it is reported.
+	// commonCausePeriod is the time within which the crashes of a wide fingerprint count as one: a
+	// rack or a failure domain that stops ends many replicas at once, and a call that many callers make runs on several of
+	// them. It equals the time for which a suspicion waits for an answer before it is reported.
 	commonCausePeriod = 500 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept for a fingerprint. More add nothing once it is
 	// quarantined.
@@ -208,6 +208,12 @@
 	return score(q.lookup(fingerprint, now))
 }
 
+// JustCrashed reports whether the last crash of a fingerprint may have the same cause as one now.
+func (q *Quarantiner) JustCrashed(fingerprint uint64, ttl time.Duration, now time.Time) bool {
+	last := q.ExpiresAt(fingerprint, now)
+	return !last.IsZero() && now.Sub(last.Add(-ttl)) < commonCausePeriod
+}
+
 // Holds reports whether a suspicion has neither expired nor been withdrawn.
 func (q *Quarantiner) Holds(suspicion wigeonspindle.Suspicion, now time.Time) bool {
 	return slices.ContainsFunc(q.lookup(suspicion.Fingerprint, now), func(known wigeonspindle.Suspicion) bool {
@@ -273,20 +279,16 @@
 	var wide []wigeonspindle.Suspicion
 	for _, known := range crashes {
 		switch {
-		case known.Wide:
-			wide = append(wide, known)
 		case known.Simultaneous:
 			simultaneous = max(simultaneous, known.Score)
+		case known.Wide:
+			wide = append(wide, known)
 		default:
 			total += known.Score
 			count++
 		}
 	}
 	for _, moment := range moments(wide) {
-		if moment.Simultaneous {
-			simultaneous = max(simultaneous, moment.Score)
-			continue
-		}
 		total += moment.Score
 		count++
 	}
@@ -301,8 +303,7 @@
 	return total
 }
 
-// moments combines crashes that may have one cause, whether the sends were first ones or repeats: each result has the
-// largest weight of its crashes, and is simultaneous if all of them are.
+// moments combines crashes that may have one cause: each result has the largest weight of its crashes.
 func moments(crashes []wigeonspindle.Suspicion) []wigeonspindle.Suspicion {
 	// All suspicions are valid for the same time, so they expire in the order of the crashes.
 	slices.SortFunc(crashes, func(a, b wigeonspindle.Suspicion) int { return a.Expires.Compare(b.Expires) })
@@ -314,7 +315,6 @@
 			continue
 		}
 		combined[last].Score = max(combined[last].Score, crash.Score)
-		combined[last].Simultaneous = combined[last].Simultaneous && crash.Simultaneous
 	}
 	return combined
 }
--- a/internal/coordination/quarantiner/trial_test.go
+++ b/internal/coordination/quarantiner/trial_test.go
@@ -53,7 +53,7 @@
 
 // crash reports that a target ended under a call at a host.
 func (f *trialFleet) crash(host int, call []quarantiner.Fingerprint, target string, now time.Time) {
-	f.hosts[host].RecordFailedSend(call, "p", target, true, now)
+	f.hosts[host].RecordFailedSend(call, "p", target, quarantiner.Isolated, now)
 	f.report(f.hosts[host].RecordUnreachable(target, now), now)
 }
 
@@ -199,7 +199,7 @@
 	for i := range 2 { // The first host reports both at once.
 		now := epoch.Add(time.Duration(i) * 5 * time.Second)
 		target := fmt.Sprintf("t%d", i)
-		f.hosts[0].RecordFailedSend(lookup("10.0.0.1", fmt.Sprint(i)), "p", target, true, now)
+		f.hosts[0].RecordFailedSend(lookup("10.0.0.1", fmt.Sprint(i)), "p", target, quarantiner.Isolated, now)
 		reports = append(reports, f.hosts[0].RecordUnreachable(target, now)...)
 	}
 	f.report(reports, epoch.Add(5*time.Second))
