quarantiner: record a crash only if it adds to the evidence

Each loss is recorded, and the bound of 16 crashes for each fingerprint drops the oldest, the simultaneous one, so the score of the content falls from 2 to 1 and the hosts send it again. Each loss beyond the threshold also reports all evidence again ("the report queue is full").

Change: an isolated crash within 0.5 s of another one adds nothing if the fingerprint is wide, where such crashes count once anyway, or already quarantined.

Result: TestManyCrashesAtOnce failed before (state 1, 40 reports), passes now (2 reports at most).

--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -78,20 +78,32 @@
 	if q.recentlyAnswered(fingerprint.Hash, pool, now) {
 		return wigeonspindle.Suspicion{}, false
 	}
-	for _, known := range q.lookup(fingerprint.Hash, now) {
-		if known.Simultaneous && !isolated {
-			return known, false
-		}
-	}
 	suspicion := wigeonspindle.Suspicion{
-		Fingerprint: fingerprint.Hash, Crash: fmt.Sprintf("%s-%x", target, q.nextNumber(now)), Score: 1 / float64(max(concurrentAttempts, 1)),
-		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated,
-		Wide: fingerprint.Wide,
+		Fingerprint: fingerprint.Hash, Score: 1 / float64(max(concurrentAttempts, 1)),
+		Pool: pool, Target: target, Expires: now.Add(ttl), Simultaneous: !isolated, Wide: fingerprint.Wide,
+	}
+	known := q.lookup(fingerprint.Hash, now)
+	quarantined := score(known) >= ScoreThreshold
+	for _, earlier := range known {
+		if covers(earlier, suspicion, quarantined) {
+			return earlier, false
+		}
 	}
+	suspicion.Crash = fmt.Sprintf("%s-%x", target, q.nextNumber(now))
 	q.store(suspicion, now)
 	return suspicion, true
 }
 
+// covers reports whether a crash adds nothing to an earlier one. A call that is lost with all targets of a service would
+// otherwise evict the other evidence against it, and fill the queue of reports.
+func covers(earlier, crash wigeonspindle.Suspicion, quarantined bool) bool {
+	if crash.Simultaneous {
+		return earlier.Simultaneous
+	}
+	sameMoment := crash.Expires.Sub(earlier.Expires) < commonCausePeriod
+	return sameMoment && !earlier.Simultaneous && earlier.Score >= crash.Score && (earlier.Wide && crash.Wide || quarantined)
+}
+
 // nextNumber returns a number that no other crash or trial of this host has, nor one of an earlier run of it.
 func (q *Quarantiner) nextNumber(now time.Time) uint64 {
 	if q.lastNumber == 0 {
--- a/internal/coordination/quarantiner/quarantiner_test.go
+++ b/internal/coordination/quarantiner/quarantiner_test.go
@@ -156,3 +156,26 @@
 	checkState("quarantine whose entries are lost", 2, quarantiner.Quarantined)
 	checkState("crash that was not reported yet", 4, quarantiner.Suspect)
 }
+
+// TestManyCrashesAtOnce guards against a call that is no longer quarantined because it has crashed so many targets at
+// once that the evidence of another kind is dropped, and against a report for each of these crashes.
+func TestManyCrashesAtOnce(t *testing.T) {
+	for name, fingerprint := range map[string]quarantiner.Fingerprint{"of one caller": identity(1), "of many callers": {Hash: 1, Wide: true}} {
+		t.Run(name, func(t *testing.T) {
+			q := &quarantiner.Quarantiner{MaxSuspects: 8}
+			q.RecordCrash(fingerprint, "p", "t0", 1, false, expiry, epoch)
+			reports := 0
+			for i := range 40 {
+				if _, added := q.RecordCrash(fingerprint, "p", "t"+string(rune('a'+i)), 1, true, expiry, epoch.Add(time.Duration(i)*time.Millisecond)); added {
+					reports++
+				}
+			}
+			if got, want := q.State(1, epoch.Add(time.Second)), quarantiner.Quarantined; got != want {
+				t.Errorf("state after 41 crashes: got %d, want %d", got, want)
+			}
+			if got, most := reports, 2; got > most {
+				t.Errorf("reports: got %d, want at most %d", got, most)
+			}
+		})
+	}
+}
