gatherer: hedge one part at a time until a part has been answered

Change: while no part has been answered, there is one hedge in each expected latency. A slow replica is late beside others that answer; if all are late, one more answer tells as much as twenty. The hedges of the other parts follow the first answer at once.

Result: TestHedgesBeforeFirstAnswer failed before (8 of 8 parts hedged).

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -46,6 +46,7 @@
 	resumeAt         time.Time // resumeAt is when a call with held parts may send again after a connection broke.
 	nextTick         time.Time // nextTick is when Tick must be called; it may be earlier than necessary.
 	brokenSends      int       // brokenSends counts the sends whose connection broke.
+	hedgedAt         time.Time // hedgedAt is when the last hedge was sent.
 	Hedges           int       // Hedges and Retries count the sends after the first of each part.
 	Retries          int
 	SkippedParts     int // SkippedParts counts the parts that were not sent, to relieve overloaded shards.
@@ -79,6 +80,9 @@
 	case exchange.Response != nil && exchange.Response.Success():
 		p.response = exchange.Response
 		c.answeredParts++
+		if c.answeredParts == 1 && !c.hedgedAt.IsZero() {
+			c.nextTick = c.computeNextTick(now) // The hedges of the other parts may be due.
+		}
 	default:
 		p.lastRefused = exchange.Verdict == wigeonspindle.NotRun && exchange.Sent
 		if exchange.Response != nil && !exchange.Response.Refused && exchange.Response.Signature != "" {
--- a/internal/coordination/gatherer/part.go
+++ b/internal/coordination/gatherer/part.go
@@ -74,6 +74,7 @@
 	switch kind {
 	case wigeonspindle.SendHedge:
 		c.Hedges++
+		c.hedgedAt = now
 	case wigeonspindle.SendRetry:
 		c.Retries++
 	}
@@ -228,7 +229,8 @@
 	c.failedParts++
 }
 
-// hedgeTime returns when a part is hedged, or zero when it is not.
+// hedgeTime returns when a part is hedged, or zero when it is not. While no part has been answered, there is one hedge in
+// each expected latency: replicas of all shards that are late together may be about to crash.
 func (c *CallState) hedgeTime(p *part, now time.Time) time.Time {
 	if c.Route.Class == wigeonspindle.ClassOnce || len(p.inFlight) != 1 || p.refusals >= maxSendsPerPart ||
 		p.possibleRuns+1 >= c.Route.Attempts || (c.onTrial() || c.brokenSends >= serialRetryThreshold) && c.answeredParts == 0 {
@@ -238,8 +240,12 @@
 		c.gatherer.Throttler.Pressure(p.pool, now) >= maxHedgePressure {
 		return time.Time{}
 	}
-	delay := max(time.Duration(hedgeLatencyFactor*float64(c.expectedLatency(now))), minHedgeDelay)
-	return p.inFlight[0].SentAt.Add(delay)
+	expected := c.expectedLatency(now)
+	at := p.inFlight[0].SentAt.Add(max(time.Duration(hedgeLatencyFactor*float64(expected)), minHedgeDelay))
+	if next := c.hedgedAt.Add(expected); c.answeredParts == 0 && next.After(at) {
+		return next
+	}
+	return at
 }
 
 func (p *part) removeInFlight(number int) {
--- a/internal/coordination/gatherer/shared_path_test.go
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -121,3 +121,34 @@
 		})
 	}
 }
+
+// TestHedgesBeforeFirstAnswer guards against a search that crashes replicas slowly and is hedged to the second replica of
+// every shard before the first one has ended, and against hedges that wait longer once a part has been answered.
+func TestHedgesBeforeFirstAnswer(t *testing.T) {
+	h := newHarness(8)
+	state, step := h.call(0)
+	first := step.Sends[0]
+	hedges := make(map[int]bool)
+	tick := func(from, until time.Duration) {
+		for now := from; now < until; now += time.Millisecond {
+			for _, send := range state.Tick(at(now)).Sends {
+				hedges[send.PartIndex] = true
+			}
+		}
+	}
+	// A first hedge is due at 44 ms, 2.2 times the expected latency.
+	tick(time.Millisecond, 60*time.Millisecond)
+	if got, want := len(hedges), 1; got != want {
+		t.Errorf("hedged parts within 16 ms before any answer: got %d, want %d", got, want)
+	}
+	next := state.HandleResult(first, part("s", 60*time.Millisecond), at(60*time.Millisecond))
+	if got, latest := next.NextTick, at(61*time.Millisecond); got.After(latest) {
+		t.Errorf("next tick after the first answer: got %v, want %v at the latest", got, latest)
+	}
+	tick(60*time.Millisecond, 62*time.Millisecond)
+	for i := range state.Route.Shards {
+		if i != first.PartIndex && !hedges[i] {
+			t.Errorf("part %d after the first answer: got not hedged, want hedged", i)
+		}
+	}
+}
