budgeter: hosts that leave keep their shares of the slack for a window

A host that stops removes its entry, so at 24.3 s a host that is still serving sees no other one. Slack is divided by the number of listed hosts: in the window three hosts make 41 repeats each, the whole part of the slack that all hosts may use (36) and their ratio, and four others 11 to 30. Ruled out: hosts that have just started and know few others take part (one of these three), but the bound leaves room for them.

Change: a lower number of hosts takes effect after a window (10 s). The hosts that leave have used their shares within it, and go on to serve the calls that reach them.

Result: TestHostsThatStopTogether fails with the recorded numbers ignored (432 repeats, 104 allowed) and passes.

--- a/internal/coordination/budgeter/budgeter.go
+++ b/internal/coordination/budgeter/budgeter.go
@@ -3,7 +3,10 @@
 // one computes its own limit from its calls and the number of hosts.
 package budgeter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// bucketCount is the number of buckets of the sliding window.
@@ -25,6 +28,13 @@
 	Window time.Duration // Window is the length of the sliding window over which the limit holds.
 
 	windows map[string]*window
+	hosts   []hostCount // hosts holds the numbers of hosts within the last Window, the current one last.
+}
+
+// hostCount is a number of hosts that share Slack.
+type hostCount struct {
+	count int
+	until time.Time // until is when the number was replaced; zero for the current one.
 }
 
 type window struct {
@@ -42,11 +52,39 @@
 	w.callSum++
 }
 
+// RecordHosts records the number of hosts that share Slack. A lower one takes effect after Window: the hosts that leave
+// have used their shares within it, and go on to serve the calls that reach them until they stop.
+func (b *Budgeter) RecordHosts(count int, now time.Time) {
+	if last := len(b.hosts) - 1; last >= 0 {
+		if b.hosts[last].count == count {
+			return
+		}
+		b.hosts[last].until = now
+	}
+	b.hosts = append(b.hosts, hostCount{count: count})
+	b.hosts = slices.DeleteFunc(b.hosts, func(h hostCount) bool { return !b.inWindow(h, now) })
+}
+
+func (b *Budgeter) inWindow(h hostCount, now time.Time) bool {
+	return h.until.IsZero() || now.Sub(h.until) < b.Window
+}
+
+// shares returns the number of equal shares into which Slack is divided.
+func (b *Budgeter) shares(hosts int, now time.Time) int {
+	shares := max(hosts, 1)
+	for _, h := range b.hosts {
+		if b.inWindow(h, now) {
+			shares = max(shares, h.count)
+		}
+	}
+	return shares
+}
+
 // AllowRepeat reports whether the host may repeat a send to a pool and, if so, counts it. The
-// parameter hosts is the number of equal shares into which Slack is divided.
+// parameter hosts is the number of equal shares into which Slack is divided, unless RecordHosts tells of more.
 func (b *Budgeter) AllowRepeat(pool string, hosts int, now time.Time) bool {
 	w := b.windowAt(pool, now)
-	if b.remaining(w, hosts) < 1 {
+	if b.limit(w, b.shares(hosts, now))-float64(w.repeatSum) < 1 {
 		return false
 	}
 	w.repeats[w.current]++
@@ -57,15 +95,11 @@
 // Utilization returns the used fraction of the budget of a pool, from 0 to 1.
 func (b *Budgeter) Utilization(pool string, hosts int, now time.Time) float64 {
 	w := b.windowAt(pool, now)
-	return min(float64(w.repeatSum)/max(b.limit(w, hosts), 1), 1)
-}
-
-func (b *Budgeter) remaining(w *window, hosts int) float64 {
-	return b.limit(w, hosts) - float64(w.repeatSum)
+	return min(float64(w.repeatSum)/max(b.limit(w, b.shares(hosts, now)), 1), 1)
 }
 
-func (b *Budgeter) limit(w *window, hosts int) float64 {
-	return b.Ratio*ratioFactor*float64(w.callSum) + b.Slack*slackFactor/float64(max(hosts, 1))
+func (b *Budgeter) limit(w *window, shares int) float64 {
+	return b.Ratio*ratioFactor*float64(w.callSum) + b.Slack*slackFactor/float64(shares)
 }
 
 // windowAt returns the window of a pool, advanced to now.
--- a/internal/coordination/budgeter/budgeter_test.go
+++ b/internal/coordination/budgeter/budgeter_test.go
@@ -106,3 +106,36 @@
 		t.Errorf("repeated sends: got %d, want at most %d", got, limit)
 	}
 }
+
+// TestHostsThatStopTogether guards against hosts that each take the slack of all, because the others leave within the
+// window in which they have used their own shares.
+func TestHostsThatStopTogether(t *testing.T) {
+	const hosts, slack = 12, 104
+	total := 0
+	for range hosts {
+		b := &budgeter.Budgeter{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}
+		for remaining := hosts; remaining >= 0; remaining -= 3 { // A host that stops removes its own entry as well.
+			now := start.Add(time.Duration(hosts-remaining) * time.Second / 2)
+			b.RecordHosts(remaining, now)
+			for b.AllowRepeat("pool", remaining, now) {
+				total++
+			}
+		}
+	}
+	if got := total; got > slack {
+		t.Errorf("repeated sends of %d hosts that stop within a window: got %d, want at most %d", hosts, got, slack)
+	}
+	b := &budgeter.Budgeter{Slack: slack, Window: 10 * time.Second}
+	b.RecordHosts(hosts, start)
+	b.RecordHosts(1, start.Add(time.Second))
+	few, many := 0, 0
+	for b.AllowRepeat("pool", 1, start.Add(10*time.Second)) {
+		few++
+	}
+	for b.AllowRepeat("pool", 1, start.Add(22*time.Second)) {
+		many++
+	}
+	if many <= few {
+		t.Errorf("repeated sends of the last host: got %d within the window after the others have left and %d later, want more later", few, many)
+	}
+}
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -295,6 +295,7 @@
 	maps.DeleteFunc(g.callerTimeouts, func(name string, _ *callerTimeoutTracker) bool { return !routes[name] })
 	used := func(pool string) bool { _, ok := deployment.Catalog.Pools[pool]; return ok }
 	g.Budget.Prune(used)
+	g.Budget.RecordHosts(len(deployment.ServingPeers), now)
 	g.Throttler.Prune(used)
 	g.Selector.Retain(known, now)
 	g.Correlator.RetainTargets(known, now)
