gatherer: after replicas of several shards have closed connections, send a search to one shard first

After the hedges are held back, the first search that crashes its replicas takes one copy of each of 20 shards; its caller's next attempts, some 100 ms later, reach hosts that have not heard of it and take the other copies.

They do see the crashes at once, in idle connections that the replicas close, but nothing used that.

Change: the pool reports a replica that closes an idle connection before its time. For 1 s after replicas of a quarter of the shards of a search, and three at least, have done so, a search is held as a suspected one is: sent to a shard without such a loss, and to the others when that has answered.

Result: TestSearchAfterClosedConnections and TestIdleClosed (there was no such report before).

--- a/internal/coordination/gatherer/canary.go
+++ b/internal/coordination/gatherer/canary.go
@@ -8,6 +8,16 @@
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
+const (
+	// closedPeriod is how long after replicas have closed idle connections searches are sent to one shard first. Hosts learn
+	// of a call that crashes replicas within it.
+	closedPeriod = time.Second
+	// minClosedPools and a part of 1/closedPoolsDivisor of the shards of a search are the number of shards whose replicas
+	// have closed idle connections from which it is sent to one shard first.
+	minClosedPools     = 3
+	closedPoolsDivisor = 4
+)
+
 // holdParts holds back all parts of a suspected call, so that advanceHeldParts sends one at a time
 // until one is answered: a call over many shards would otherwise crash a replica of each of them.
 // The parts of the pools whose replicas crashed are first in line.
@@ -26,14 +36,19 @@
 		}
 		c.suspectedJustNow = c.suspectedJustNow || quarantine.JustCrashed(fingerprint.Hash, c.gatherer.Correlator.SuspicionTTL, now)
 	}
+	first := func(i int) bool { return suspectedPools[c.parts[i].pool] }
 	if len(suspectedPools) == 0 {
-		return
+		closed := c.recentlyClosed(now)
+		if len(closed) < max(minClosedPools, len(c.parts)/closedPoolsDivisor) {
+			return
+		}
+		first = func(i int) bool { return !closed[c.parts[i].pool] } // A shard without a loss bears one better.
 	}
 	var others []int
 	for i := range c.parts {
 		switch {
 		case c.parts[i].failed:
-		case suspectedPools[c.parts[i].pool]:
+		case first(i):
 			c.heldParts = append(c.heldParts, i)
 		default:
 			others = append(others, i)
@@ -42,6 +57,26 @@
 	c.heldParts = append(c.heldParts, others...)
 }
 
+// recentlyClosed returns the pools of the call with a replica that has just closed idle connections.
+func (c *CallState) recentlyClosed(now time.Time) map[string]bool {
+	closed := make(map[string]bool)
+	for i := range c.parts {
+		if at, ok := c.gatherer.closedAt[c.parts[i].pool]; ok && now.Sub(at) < closedPeriod {
+			closed[c.parts[i].pool] = true
+		}
+	}
+	return closed
+}
+
+// RecordIdleClosed records that a replica has closed an idle connection. Replicas that crash under a call do so at all
+// hosts, long before these learn of the call.
+func (g *Gatherer) RecordIdleClosed(replica *wigeonspindle.Replica, now time.Time) {
+	if g.closedAt == nil {
+		g.closedAt = make(map[string]time.Time)
+	}
+	g.closedAt[replica.Pool] = now
+}
+
 // holding reports whether parts wait for the answer to another part.
 func (c *CallState) holding() bool { return len(c.heldParts) > 0 }
 
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -124,6 +124,7 @@
 	NewEstimator   func() wigeonspindle.LatencyEstimator
 	splitters      map[string]*poolSplitter
 	callerTimeouts map[string]*callerTimeoutTracker
+	closedAt       map[string]time.Time // closedAt is when a replica of each pool last closed an idle connection.
 }
 
 // StartCall starts a call of a route and returns its first step. The call keeps the route, and with it the pools and
@@ -295,6 +296,7 @@
 	maps.DeleteFunc(g.callerTimeouts, func(name string, _ *callerTimeoutTracker) bool { return !routes[name] })
 	used := func(pool string) bool { _, ok := deployment.Catalog.Pools[pool]; return ok }
 	g.Budget.Prune(used)
+	maps.DeleteFunc(g.closedAt, func(pool string, _ time.Time) bool { return !used(pool) })
 	g.Budget.RecordHosts(len(deployment.ServingPeers), now)
 	g.Throttler.Prune(used)
 	g.Selector.Retain(known, now)
--- a/internal/coordination/gatherer/shared_path_test.go
+++ b/internal/coordination/gatherer/shared_path_test.go
@@ -152,3 +152,38 @@
 		}
 	}
 }
+
+// TestSearchAfterClosedConnections guards against a search that crashes the second replica of every shard at a host that
+// has not heard of it, after the replicas that it crashed at another host have closed their idle connections here.
+func TestSearchAfterClosedConnections(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		closed, sends int
+		after         time.Duration
+	}{
+		{"replicas of most shards", 6, 1, 500 * time.Millisecond},
+		{"replicas of two shards", 2, 8, 500 * time.Millisecond},
+		{"replicas of most shards, some time ago", 6, 8, 2 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(8)
+			for i := range test.closed {
+				h.RecordIdleClosed(h.deployment.Replicas[fmt.Sprintf("shard-%d", i)][0], at(0))
+			}
+			state, step := h.call(test.after)
+			if got, want := len(step.Sends), test.sends; got != want {
+				t.Fatalf("first sends: got %d, want %d", got, want)
+			}
+			if test.sends > 1 {
+				return
+			}
+			if got, most := step.Sends[0].PartIndex, test.closed; got < most {
+				t.Errorf("first part: got that of shard %d, want one of a shard without a loss", got)
+			}
+			next := state.HandleResult(step.Sends[0], part("s", 5*time.Millisecond), at(test.after+5*time.Millisecond))
+			if got, want := len(next.Sends), 7; got != want {
+				t.Errorf("sends after the first answer: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -127,7 +127,7 @@
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
 	d.pool = &exchanger.Pool{
-		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial, BodyMemory: d.BodyMemory,
+		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial, OnIdleClosed: d.handleIdleClosed, BodyMemory: d.BodyMemory,
 		Schedule: func(at time.Time, run func()) { d.timers.AddOnce(at, func(time.Time) { run() }) },
 	}
 	d.done.Add(1)
--- a/internal/transport/dispatcher/suspicions.go
+++ b/internal/transport/dispatcher/suspicions.go
@@ -31,6 +31,11 @@
 	d.reportSuspicions(d.Gatherer.RecordReachability(replica, exchanger.ReachabilityOf(err), dialled, now), now)
 }
 
+// handleIdleClosed records that a replica has closed an idle connection.
+func (d *Dispatcher) handleIdleClosed(replica *wigeonspindle.Replica) {
+	d.Gatherer.RecordIdleClosed(replica, d.Clock.Now())
+}
+
 // reportSuspicions logs suspicions about calls that crash replicas and reports them to the other
 // hosts. A call that reaches the threshold is reported with all evidence at once; otherwise a
 // suspicion waits for suspicionReportDelay and is reported if it still holds. A withdrawal is reported
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -406,6 +406,22 @@
 	}
 }
 
+// TestIdleClosed guards against replicas that crash unnoticed at a host without requests in progress there.
+func TestIdleClosed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	s := newTarget(t, func(path string) (string, bool) { return answer(path, ""), false })
+	h := newHarness(t, s.listener.Addr().String())
+	var closed []string
+	h.pool.OnIdleClosed = func(replica *wigeonspindle.Replica) { closed = append(closed, replica.ID) }
+	h.send("first", 1)
+	h.wait(t, "first")
+	s.crash()
+	h.waitUntil(t, "report of the closed connection", func() bool { return len(closed) > 0 })
+	if got, want := closed[0], h.replica.ID; got != want {
+		t.Errorf("replica that closed an idle connection: got %q, want %q", got, want)
+	}
+}
+
 // TestWithdrawExcept guards against a request that is sent to a replica which no longer accepts work, because it was
 // waiting for a connection to it.
 func TestWithdrawExcept(t *testing.T) {
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -26,6 +26,8 @@
 	// OnDial is called with the start of a dial when the replica has accepted the connection, and with the error when
 	// the dial has failed unless the failure is the result of a job that waited for the connection.
 	OnDial func(replica *wigeonspindle.Replica, err error, dialled time.Time)
+	// OnIdleClosed is called when a replica has closed an idle connection earlier than it said.
+	OnIdleClosed func(replica *wigeonspindle.Replica)
 	// Schedule calls run at a time, on the goroutine of the pool. Watch needs it.
 	Schedule func(at time.Time, run func())
 
@@ -218,6 +220,9 @@
 	for i, idle := range r.idle {
 		if idle == connection {
 			r.idle = append(r.idle[:i], r.idle[i+1:]...)
+			if p.OnIdleClosed != nil && p.Clock.Now().Before(connection.ReuseUntil) {
+				p.OnIdleClosed(connection.Replica)
+			}
 			break
 		}
 	}
