--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -109,17 +109,17 @@
 		correlator.RecordReachable(replica, sent.SentAt)
 		if exchange.Response.Failed() {
 			// The replica may crash right after the answer.
-			c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent, now), now)
+			c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent), now)
 		}
 	case exchange.Code == wigeonspindle.CodeBroken:
 		c.brokenSends++
-		c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent, now), now)
+		c.WatchUntil = correlator.RecordFailedSend(fingerprints, pool, replica, c.isolation(sent), now)
 		if c.holding() {
 			c.resumeAt = now.Add(c.crashCheckDelay(now))
 			c.nextTick = earlier(c.nextTick, c.resumeAt)
 		}
 	case exchange.Code == wigeonspindle.CodeCancelled && exchange.Sent && c.parts[sent.PartIndex].response == nil:
-		c.WatchUntil = correlator.RecordAbandonedSend(fingerprints, pool, replica, c.isolation(sent, now), c.HardDeadline, now)
+		c.WatchUntil = correlator.RecordAbandonedSend(fingerprints, pool, replica, c.isolation(sent), c.HardDeadline, now)
 	case exchange.Code == wigeonspindle.CodeUnreachable:
 		return c.gatherer.recordLoss(sent.Replica, exchange.Reachability, now)
 	}
@@ -127,7 +127,7 @@
 }
 
 // isolation returns how far the loss of the replica of a send is explained by the loss of others at the same time.
-func (c *CallState) isolation(sent Send, now time.Time) quarantiner.Isolation {
+func (c *CallState) isolation(sent Send) quarantiner.Isolation {
 	c.parts[sent.PartIndex].lost = true
 	switch {
 	case len(c.parts) == 1:
--- a/internal/coordination/gatherer/canary.go
+++ b/internal/coordination/gatherer/canary.go
@@ -59,10 +59,10 @@
 
 // recentlyClosed returns the pools of the call with a replica that has just closed idle connections.
 func (c *CallState) recentlyClosed(now time.Time) map[string]bool {
-	closed := make(map[string]bool)
 	if now.Sub(c.gatherer.lastClosedAt) >= closedPeriod {
-		return closed // Spares calls over hundreds of shards the search.
+		return nil // Spares calls over hundreds of shards the search.
 	}
+	closed := make(map[string]bool)
 	for i := range c.parts {
 		if at, ok := c.gatherer.closedAt[c.parts[i].pool]; ok && now.Sub(at) < closedPeriod {
 			closed[c.parts[i].pool] = true
