quarantiner: try the content of a call only while it has crashed two replicas at most

Cause: callers send the request to several hosts at once, twice some seconds apart. The first wave is one moment, and in the second up to three retries are made before the hosts have heard of it; a trial after that is the fourth.

Change: fingerprints that keep the query are tried only up to two crashes. The path of a call, which stands for many calls, is tried as before.

--- a/internal/coordination/quarantiner/trial.go
+++ b/internal/coordination/quarantiner/trial.go
@@ -11,6 +11,9 @@
 	// maxTrials bounds the calls that all hosts together let through while a fingerprint is quarantined. The users' rules
 	// (BUDGET) allow a call that crashes targets three retries later than contact_ms after the third crash.
 	maxTrials = 2
+	// maxContentCrashes is the number of crashes up to which the content of a call is tried. More of them without an
+	// answer leave little doubt, and each trial takes one of the retries that the rules allow.
+	maxContentCrashes = 2
 	// trialClaimTimeout is how long a claim may be under way before it is made again.
 	trialClaimTimeout = 5 * time.Second
 )
@@ -53,7 +56,7 @@
 			admission.Trials = append(admission.Trials, trial)
 			continue
 		}
-		at, ok := c.nextTrial(fingerprint.Hash, now)
+		at, ok := c.nextTrial(fingerprint, now)
 		final = final || !ok
 		due = append(due, fingerprint.Hash)
 		if at.After(trialAt) {
@@ -90,13 +93,14 @@
 }
 
 // nextTrial returns when the next trial of a quarantined fingerprint is due. It reports false if there is none: the
-// hosts have made all of them, or targets crashed at several moments under the same call.
-func (c *CrashCorrelator) nextTrial(fingerprint uint64, now time.Time) (time.Time, bool) {
-	crashes, trials := c.Quarantiner.SuspicionsOf(fingerprint, now), c.Quarantiner.trials[fingerprint]
-	if len(trials) >= maxTrials || !allWide(crashes) && len(moments(crashes)) > 1 {
+// hosts have made all of them, or targets crashed at several moments under the same call, or too often under its content.
+func (c *CrashCorrelator) nextTrial(fingerprint Fingerprint, now time.Time) (time.Time, bool) {
+	crashes, trials := c.Quarantiner.SuspicionsOf(fingerprint.Hash, now), c.Quarantiner.trials[fingerprint.Hash]
+	switch {
+	case len(trials) >= maxTrials, !fingerprint.AnyQuery && len(crashes) > maxContentCrashes, !allWide(crashes) && len(moments(crashes)) > 1:
 		return time.Time{}, false
 	}
-	last := c.Quarantiner.ExpiresAt(fingerprint, now)
+	last := c.Quarantiner.ExpiresAt(fingerprint.Hash, now)
 	for _, trial := range trials {
 		if trial.Expires.After(last) {
 			last = trial.Expires
--- a/internal/coordination/quarantiner/trial_test.go
+++ b/internal/coordination/quarantiner/trial_test.go
@@ -209,3 +209,18 @@
 		}
 	}
 }
+
+// TestNoTrialAfterManyCrashes guards against trials of a call that has crashed targets for many callers: each of them is
+// one of the few further retries that the users' rules allow (BUDGET), and the hosts may have made others by then.
+func TestNoTrialAfterManyCrashes(t *testing.T) {
+	f := newTrialFleet(3)
+	call := func(i int) []quarantiner.Fingerprint { return callOf(fmt.Sprintf("10.0.0.%d", i)) }
+	for i := range 4 {
+		f.crash(i%3, call(i), fmt.Sprintf("t%d", i), epoch.Add(time.Duration(i)*5*time.Second/2))
+	}
+	for i := range 100 {
+		if f.admit(i%3, call(10+i), epoch.Add(10*time.Second+time.Duration(i)*time.Second)) {
+			t.Fatalf("call %d after four crashes: got admitted, want refused", i)
+		}
+	}
+}
