--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -30,8 +30,8 @@
 	// successRotationPeriod is the minimum time for which a success is kept while the table has room.
 	successRotationPeriod = 10 * time.Minute
 	// answerPeriod is how long before a crash an answer of the same pool shows that a fingerprint is not to blame. It is
-	// shorter than the time after which the users' rules count further crashes (contact_ms, 4 s), because calls that were
-	// answered may begin to crash targets.
+	// shorter than the 4 s after the third crash of a call in which further crashes are tolerated, because calls that
+	// were answered may begin to crash targets.
 	answerPeriod = 2 * time.Second
 	// minAnswers bounds the answers that are kept within answerPeriod, each of one fingerprint and pool.
 	minAnswers = 8192
--- a/internal/coordination/quarantiner/trial.go
+++ b/internal/coordination/quarantiner/trial.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// maxTrials bounds the calls that all hosts together let through while a fingerprint is quarantined. The users' rules
-	// (BUDGET) allow a call that crashes targets three retries later than contact_ms after the third crash.
+	// maxTrials bounds the calls that all hosts together let through while a fingerprint is quarantined. A call that
+	// crashes targets may be sent three times more, later than 4 s after the third crash.
 	maxTrials = 2
 	// maxContentCrashes is the number of crashes up to which the content of a call is tried. More of them without an
-	// answer leave little doubt, and each trial takes one of the retries that the rules allow.
+	// answer leave little doubt, and each trial is one of the few further sends.
 	maxContentCrashes = 2
 	// trialClaimTimeout is how long a claim may be under way before it is made again.
 	trialClaimTimeout = 5 * time.Second
--- a/internal/coordination/quarantiner/trial_test.go
+++ b/internal/coordination/quarantiner/trial_test.go
@@ -127,7 +127,7 @@
 // TestTrialBound guards against a call that crashes targets and is let through again and again, by one host after the
 // other or by hosts that have just started.
 func TestTrialBound(t *testing.T) {
-	const allowed = 2 // One less than the users' rules allow (BUDGET).
+	const allowed = 2 // One less than the sends that are tolerated later than 4 s after the third crash.
 	for _, test := range []struct {
 		name string
 		call func(i int) []quarantiner.Fingerprint
@@ -211,7 +211,7 @@
 }
 
 // TestNoTrialAfterManyCrashes guards against trials of a call that has crashed targets for many callers: each of them is
-// one of the few further retries that the users' rules allow (BUDGET), and the hosts may have made others by then.
+// one of the three further sends that are tolerated, and the hosts may have made others by then.
 func TestNoTrialAfterManyCrashes(t *testing.T) {
 	f := newTrialFleet(3)
 	call := func(i int) []quarantiner.Fingerprint { return callOf(fmt.Sprintf("10.0.0.%d", i)) }
