exchanger, dispatcher: share one body among the sends of a call, and drop it with the reply

Cause: each send of a call copied the body behind its header, so a search took as many copies as it has shards. The copies, and the body of the call, stayed until the replicas answered or the deadline had passed, also when the call had been answered or its caller had left.

Change: a dialect encodes the header alone. A connection writes the shared body after it and drops it; up to 4 KB it is copied, to keep one packet. A decided or cancelled call withdraws the sends without a connection and drops its body; logs keep its size and hash. Handle returns to a caller who has left only when the dispatcher has dropped the body, so that what accounts for it is right.

--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -104,6 +104,7 @@
 	reply     chan wigeonspindle.CallReply
 	timer     *scheduler.Timer
 	jobs      []*exchanger.Job // jobs are the sends without a result.
+	body      *bodyIdentity    // body is set when the body of the call has been dropped.
 	cancelled bool             // cancelled reports that the caller has disconnected.
 	abortAt   time.Time        // abortAt is when the remaining sends of a decided call are aborted.
 }
@@ -172,6 +173,10 @@
 		return reply
 	case <-ctx.Done():
 		d.cancelQueue.Put(p, d.stop)
+		select {
+		case <-p.reply: // The dispatcher keeps the body of the call until then.
+		case <-d.stop:
+		}
 		return refusalReply(wigeonspindle.CodeCancelled, wigeonspindle.MayHaveRun, "the caller disconnected", 0)
 	case <-d.stop:
 		return refusalReply(wigeonspindle.CodeLeaving, wigeonspindle.MayHaveRun, "the host stopped", 0)
@@ -351,8 +356,10 @@
 // reply answers a call. Its remaining sends are aborted after lateResponseGrace.
 func (d *Dispatcher) reply(p *pendingCall, reply wigeonspindle.CallReply, now time.Time) {
 	delete(d.running, p)
+	d.withdrawWaiting(p)
 	p.reply <- reply // Does not block: the channel is buffered and a call has one reply.
 	d.logReply(p, reply, now)
+	p.dropBody()
 	if p.state != nil {
 		d.scheduleAbort(p, p.state.HardDeadline.Add(lateResponseGrace))
 	}
@@ -377,12 +384,17 @@
 	}
 	p.cancelled = true
 	if p.state == nil {
-		return // The call has not started; start skips it.
+		p.dropBody()
+		p.reply <- wigeonspindle.CallReply{} // The call has not started; start skips it. Handle does not use the reply.
+		return
 	}
 	now := d.Clock.Now()
 	delete(d.running, p)
 	if !p.state.Decided() {
 		p.state.Cancel()
+		d.withdrawWaiting(p)
+		p.dropBody()
+		p.reply <- wigeonspindle.CallReply{} // Handle does not use the reply.
 		d.Logger.Info("call cancelled: the caller disconnected", "call", p.call.ID, "route", p.route.Name, "took", now.Sub(p.call.Arrived))
 	}
 	d.scheduleAbort(p, now.Add(cancelGrace))
--- a/internal/transport/dispatcher/dispatcher_test.go
+++ b/internal/transport/dispatcher/dispatcher_test.go
@@ -41,7 +41,7 @@
 // dialect encodes the method and the URI of a call as an HTTP/1.1 request.
 type dialect struct{}
 
-func (dialect) Request(buffer []byte, call *wigeonspindle.Call, _ *wigeonspindle.Replica, _ time.Duration) []byte {
+func (dialect) RequestHeader(buffer []byte, call *wigeonspindle.Call, _ *wigeonspindle.Replica, _ time.Duration) []byte {
 	return append(buffer, call.Method+" "+call.RequestURI+" HTTP/1.1\r\nHost: h\r\n\r\n"...)
 }
 
@@ -221,9 +221,9 @@
 	release chan struct{}
 }
 
-func (b blockedDialect) Request(buffer []byte, call *wigeonspindle.Call, replica *wigeonspindle.Replica, remaining time.Duration) []byte {
+func (b blockedDialect) RequestHeader(buffer []byte, call *wigeonspindle.Call, replica *wigeonspindle.Replica, remaining time.Duration) []byte {
 	<-b.release
-	return b.dialect.Request(buffer, call, replica, remaining)
+	return b.dialect.RequestHeader(buffer, call, replica, remaining)
 }
 
 // logLines counts the lines of a log that contain a text.
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -28,7 +28,7 @@
 		fields = append(fields, "status", exchange.Response.Status)
 	}
 	if exchange.Sent && exchange.Verdict != wigeonspindle.NotRun {
-		fields = append(append(fields, "fingerprint", fingerprintNames(p)), identityFields(p.call)...)
+		fields = append(append(fields, "fingerprint", fingerprintNames(p)), p.identityFields()...)
 	}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
@@ -66,7 +66,7 @@
 	if reply.Refusal != nil {
 		outcome = string(reply.Refusal.Code)
 		if reply.Refusal.Code == wigeonspindle.CodeQuarantined {
-			fields = append(append(fields, "fingerprint", fingerprintNames(p)), identityFields(p.call)...)
+			fields = append(append(fields, "fingerprint", fingerprintNames(p)), p.identityFields()...)
 		}
 		fields = append(fields, "verdict", reply.Refusal.Verdict, "reason", reply.Refusal.Message,
 			"retry_after", reply.RetryAfter, "registry_state_age", now.Sub(d.deployment.RegistrySeen))
@@ -93,15 +93,40 @@
 	return strings.Join(names, ",")
 }
 
+// bodyIdentity is what is logged of the body of a call.
+type bodyIdentity struct {
+	bytes int
+	hash  uint64
+}
+
+func identifyBody(body []byte) bodyIdentity {
+	return bodyIdentity{bytes: len(body), hash: xxhash.Sum64(body)}
+}
+
+// dropBody drops the body of a call that is not sent again. Its remaining sends may take until its deadline, and the memory
+// that the caller has claimed for the body is given back with the reply.
+func (p *pendingCall) dropBody() {
+	if len(p.jobs) > 0 && p.body == nil {
+		identity := identifyBody(p.call.Body)
+		p.body = &identity
+	}
+	p.call.Body = nil
+}
+
 // identityFields returns the log fields of what the fingerprints of a call are made from.
-func identityFields(call *wigeonspindle.Call) []any {
+func (p *pendingCall) identityFields() []any {
+	call, body := p.call, p.body
+	if body == nil {
+		identity := identifyBody(call.Body)
+		body = &identity
+	}
 	uri := call.RequestURI
 	if len(uri) > maxLoggedURIBytes {
 		uri = uri[:maxLoggedURIBytes]
 	}
 	return []any{
 		"caller", call.Caller, "method", call.Method, "authority", call.Authority, "uri", uri, "uri_bytes", len(call.RequestURI),
-		"body_bytes", len(call.Body), "body_hash", fmt.Sprintf("%016x", xxhash.Sum64(call.Body)),
+		"body_bytes", body.bytes, "body_hash", fmt.Sprintf("%016x", body.hash),
 	}
 }
 
--- a/internal/transport/dispatcher/sends.go
+++ b/internal/transport/dispatcher/sends.go
@@ -11,8 +11,8 @@
 
 // send submits a send to the connection pool.
 func (d *Dispatcher) send(p *pendingCall, send gatherer.Send, now time.Time) {
-	job := &exchanger.Job{Call: p.call, Key: jobKey{pending: p, send: send}}
-	job.Request = d.Dialect.Request(nil, p.call, send.Replica, p.state.HardDeadline.Sub(now))
+	job := &exchanger.Job{Call: p.call, Key: jobKey{pending: p, send: send}, Body: p.call.Body}
+	job.Header = d.Dialect.RequestHeader(nil, p.call, send.Replica, p.state.HardDeadline.Sub(now))
 	var maxIdle time.Duration
 	limit := d.connectionLimit(send.Replica)
 	switch {
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -26,6 +26,8 @@
 	// dialTimeout bounds the opening of a connection. It is many times the slowest handshake of
 	// a healthy replica.
 	dialTimeout = time.Second
+	// maxCopiedBytes is the largest body that is copied to be sent with the header of its request.
+	maxCopiedBytes = 4 << 10
 	// readBufferSize fits the header and a small body of a typical response, in bytes.
 	readBufferSize = 1 << 10
 	// maxUnmatchedResponses bounds the skipped responses to other requests.
@@ -52,8 +54,9 @@
 
 // Job is a request to be sent once on a connection.
 type Job struct {
-	Call    *wigeonspindle.Call
-	Request []byte
+	Call   *wigeonspindle.Call
+	Header []byte // Header is the header of the request.
+	Body   []byte // Body is shared by the sends of a call; the connection drops it once it is written.
 	// Key identifies the job to the user of the pool.
 	Key any
 
@@ -199,7 +202,7 @@
 			c.mutex.Lock()
 			c.current = job
 			c.mutex.Unlock()
-			if _, err := c.conn.Write(job.Request); err != nil {
+			if err := c.write(job); err != nil {
 				_ = c.conn.Close() // readLoop reports the job.
 			}
 		case <-done:
@@ -208,6 +211,20 @@
 	}
 }
 
+// write sends a request. A small body is copied after the header, to send both in one packet.
+func (c *Connection) write(job *Job) error {
+	body := job.Body
+	job.Body = nil
+	if len(body) <= maxCopiedBytes {
+		job.Header, body = append(job.Header, body...), nil
+	}
+	if _, err := c.conn.Write(job.Header); err != nil || len(body) == 0 {
+		return err
+	}
+	_, err := c.conn.Write(body)
+	return err
+}
+
 // readLoop receives responses. It returns when the connection can carry no more jobs.
 func (c *Connection) readLoop(reader *bufio.Reader) error {
 	for {
--- a/internal/transport/exchanger/exchanger_bench_test.go
+++ b/internal/transport/exchanger/exchanger_bench_test.go
@@ -52,7 +52,7 @@
 	call := &wigeonspindle.Call{ID: "one", Method: http.MethodGet}
 	b.ReportAllocs()
 	for b.Loop() {
-		job := &exchanger.Job{Call: call, Request: dialect{}.Request(nil, call, replica, time.Second)}
+		job := &exchanger.Job{Call: call, Header: dialect{}.RequestHeader(nil, call, replica, time.Second)}
 		if !pool.Send(replica, job, 1, 0) {
 			b.Fatal("send: got refused, want accepted")
 		}
--- a/internal/transport/exchanger/exchanger_test.go
+++ b/internal/transport/exchanger/exchanger_test.go
@@ -27,7 +27,7 @@
 // dialect reads the call ID and the signature of responses.
 type dialect struct{}
 
-func (dialect) Request(buffer []byte, call *wigeonspindle.Call, _ *wigeonspindle.Replica, _ time.Duration) []byte {
+func (dialect) RequestHeader(buffer []byte, call *wigeonspindle.Call, _ *wigeonspindle.Replica, _ time.Duration) []byte {
 	return append(buffer, "GET /"+call.ID+" HTTP/1.1\r\nHost: h\r\n\r\n"...)
 }
 
@@ -144,7 +144,7 @@
 
 func (h *harness) send(id string, limit int) (*exchanger.Job, bool) {
 	call := &wigeonspindle.Call{ID: id, Method: http.MethodGet}
-	job := &exchanger.Job{Call: call, Request: dialect{}.Request(nil, call, h.replica, 0)}
+	job := &exchanger.Job{Call: call, Header: dialect{}.RequestHeader(nil, call, h.replica, 0)}
 	return job, h.pool.Send(h.replica, job, limit, 0)
 }
 
--- a/registry.go
+++ b/registry.go
@@ -53,8 +53,9 @@
 
 // Dialect translates between calls and the messages of replicas.
 type Dialect interface {
-	// Request appends the bytes of a request that states the time left to answer.
-	Request(buffer []byte, call *Call, replica *Replica, left time.Duration) []byte
+	// RequestHeader appends the header of a request that states the time left to answer. The body of
+	// the call follows it.
+	RequestHeader(buffer []byte, call *Call, replica *Replica, left time.Duration) []byte
 	// Response interprets a complete response.
 	Response(response *http.Response, body []byte) *Response
 }
