gatherer: keep only the records of a large part that can count

Cause: the parts of a search stayed as the replicas had sent them, up to 8 MB each, until the last one was in, although the answer takes the greatest top_k records.

Change: a part over 16 KB is trimmed to its greatest top_k records when it arrives. TestTrim compares the merged answers of trimmed and whole parts.

--- a/internal/coordination/gatherer/call.go
+++ b/internal/coordination/gatherer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/merger"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/quarantiner"
 )
 
@@ -79,6 +80,9 @@
 		// Another send has decided the part.
 	case exchange.Response != nil && exchange.Response.Success():
 		p.response = exchange.Response
+		if len(c.Route.Shards) > 0 {
+			p.response = merger.Trim(exchange.Response, c.Route.Top)
+		}
 		c.answeredParts++
 		if c.answeredParts == 1 && !c.hedgedAt.IsZero() {
 			c.nextTick = c.computeNextTick(now) // The hedges of the other parts may be due.
--- a/internal/coordination/merger/merger_test.go
+++ b/internal/coordination/merger/merger_test.go
@@ -1,6 +1,8 @@
 package merger_test
 
 import (
+	"bytes"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -47,3 +49,25 @@
 		})
 	}
 }
+
+// TestTrim guards against a large part that loses records which belong to the greatest ones.
+func TestTrim(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, top := range []int{-1, 0, 1, 7, 1000, 5000, 20000} {
+		var parts, trimmed []*wigeonspindle.Response
+		for i := range 3 {
+			body := make([]byte, []int{100, 40000, 160005}[i])
+			for j := range body {
+				body[j] = byte(random.IntN(4)) // Some records are equal.
+			}
+			parts = append(parts, &wigeonspindle.Response{Signature: string(rune('a' + i)), Body: body})
+			trimmed = append(trimmed, merger.Trim(parts[i], top))
+			if got, limit := len(trimmed[i].Body), max(top*merger.RecordSize, 16<<10); got > limit+merger.RecordSize-1 {
+				t.Errorf("trimmed part for %d records: got %d bytes, want at most %d", top, got, limit)
+			}
+		}
+		if got, want := merger.Merge(trimmed, 0, max(top, 0)), merger.Merge(parts, 0, max(top, 0)); !bytes.Equal(got.Body, want.Body) || !slices.Equal(got.Signatures, want.Signatures) {
+			t.Errorf("greatest %d records: got other ones than without trimming, want the same", top)
+		}
+	}
+}
