server: a connection that waits for its client gives way to a new one

What callers saw: beside connections that lack a byte of a request, as many as the listener has places, new callers got no answer for up to 30 s (readTimeout); the directory, readiness and metrics listeners failed in the same way with 128 places. Platform clients wait a second for a connection to be read.

Cause: the listener accepted nobody while all places were taken, however long they had waited for their clients.

Change: package evictor chooses the place that has waited longest for its client: 250 ms or more for the rest of a request, a second idle or with an answer that is not read, the latter last. A request that is complete keeps its place. The choice and the start of a request take the same lock, so a request on a connection that has given way is not handled, and the timeout of the operators' limits follows the same rule now. A planned stop counts only complete requests as cut off. Displaced connections are counted and logged once a second.

With a rule that lets no place give way, TestFullListener fails for parts of a body and idle connections, and TestChoosePlace in six cases. TestCrowdConnections also exceeds the memory and stays red here.

--- a/internal/transport/administrator/callmeter.go
+++ b/internal/transport/administrator/callmeter.go
@@ -21,6 +21,7 @@
 	latency      *prometheus.HistogramVec
 	missingParts *prometheus.CounterVec
 	sends        *prometheus.CounterVec
+	displaced    *prometheus.CounterVec
 
 	mutex  sync.Mutex
 	routes map[string]bool
@@ -36,7 +37,8 @@
 	}, []string{"route"})
 	m.missingParts = newCounter("call_parts_missing_total", "Parts without an answer when a call ended.", "route")
 	m.sends = newCounter("sends_total", "Sends to replicas by kind.", "route", "kind")
-	m.registry.MustRegister(m.calls, m.latency, m.missingParts, m.sends)
+	m.displaced = newCounter("connections_displaced_total", "Connections closed because all places of the listener were taken.", "listener")
+	m.registry.MustRegister(m.calls, m.latency, m.missingParts, m.sends, m.displaced)
 	return m
 }
 
@@ -59,6 +61,9 @@
 	m.sends.WithLabelValues(m.routeLabel(route), string(kind)).Inc()
 }
 
+// CountDisplaced counts a connection to a listener that was closed because all places were taken.
+func (m *CallMeter) CountDisplaced(listener string) { m.displaced.WithLabelValues(listener).Inc() }
+
 // Handler serves the metrics in text format without compression.
 func (m *CallMeter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/internal/transport/administrator/changes.go
+++ b/internal/transport/administrator/changes.go
@@ -14,6 +14,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/validator"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
+	"wigeonspindle.example/wigeonspindle/internal/transport/server"
 )
 
 func (a *Administrator) inventory(c echo.Context) error {
@@ -172,6 +173,9 @@
 	case err != nil:
 		return nil, invalidField("", "the request body was not received: "+err.Error())
 	}
+	if err := server.StartHandling(c.Request().Context()); err != nil {
+		return nil, &wigeonspindle.Refusal{Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: err.Error()}
+	}
 	return data, nil
 }
 
--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -36,14 +37,22 @@
 	// Limits returns the header timeout and the idle timeout; nil means headerTimeout and
 	// idleTimeout.
 	Limits func() wigeonspindle.CallLimits
+	// OnDisplaced is called, if set, for each connection that is closed for a new one. It must not block.
+	OnDisplaced func()
 
 	http          http.Server
 	listener      net.Listener
 	done          chan struct{}
+	closing       chan struct{} // closing is closed when the listener closes.
+	freed         chan struct{} // freed receives a signal when a place has become free.
 	mutex         sync.Mutex
-	busy          map[net.Conn]http.ConnState // busy holds the connections that are new or have a request in progress.
-	requestTimers map[net.Conn]*requestTimer  // requestTimers holds a timer for each connection that waits for its next request.
-	idle          chan struct{}               // idle is closed when a closing listener has no busy connection.
+	places        map[*evictor.Place]*clientConn // places holds the open connections.
+	busy          map[net.Conn]http.ConnState    // busy holds the connections that are new or have a request in progress.
+	requestTimers map[net.Conn]*requestTimer     // requestTimers holds a timer for each connection that waits for its next request.
+	idle          chan struct{}                  // idle is closed when a closing listener has no busy connection.
+
+	displaced         int // displaced counts the connections closed for new ones since the last log line.
+	displacedLoggedAt time.Time
 }
 
 // requestTimer closes a connection whose next request does not arrive in time.
@@ -55,11 +64,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s on %s", l.Name, l.Address)
 	}
-	listener = newTimingListener(listener, l.Connections)
+	l.closing, l.freed, l.places = make(chan struct{}), make(chan struct{}, 1), make(map[*evictor.Place]*clientConn)
 	l.listener, l.busy, l.requestTimers = listener, make(map[net.Conn]http.ConnState), make(map[net.Conn]*requestTimer)
 	l.http.ConnState = l.trackState
-	l.http.ConnContext = withConnectionTiming
-	l.http.Handler = l.Handler
+	l.http.ConnContext = withClient
+	l.http.Handler = http.HandlerFunc(l.serve)
 	l.http.ReadHeaderTimeout, l.http.IdleTimeout = headerTimeout, idleTimeout
 	if l.Limits != nil {
 		// The operators' limits may exceed headerTimeout and idleTimeout.
@@ -71,7 +80,7 @@
 	l.done = make(chan struct{})
 	go func() {
 		defer close(l.done)
-		if err := l.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := l.http.Serve(&placeListener{Listener: listener, owner: l}); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			l.Logger.Error("listener failed", "listener", l.Name, "error", err)
 		}
 	}()
@@ -83,6 +92,7 @@
 // connections that it has just accepted.
 func (l *Listener) Close(ctx context.Context) error {
 	_ = l.listener.Close()
+	close(l.closing)
 	<-l.done
 	select {
 	case <-l.drained():
@@ -106,6 +116,13 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.setRequestTimer(connection, state)
+	client := connection.(*clientConn)
+	switch state {
+	case http.StateNew, http.StateActive:
+		client.Stage, client.Since = evictor.Receiving, time.Now()
+	case http.StateIdle:
+		client.Stage, client.Since = evictor.Idle, time.Now()
+	}
 	if state == http.StateNew || state == http.StateActive {
 		l.busy[connection] = state
 		return
@@ -145,23 +162,28 @@
 }
 
 // expire closes a connection that still waits for the request of the expired timer. If a request
-// arrived while the timer fired, the connection may already have another timer.
+// arrived while the timer fired, the connection may already have another timer. A request that arrives
+// later is not handled.
 func (l *Listener) expire(connection net.Conn, expired *requestTimer) {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.requestTimers[connection] == expired {
+	current := l.requestTimers[connection] == expired
+	if current {
 		delete(l.requestTimers, connection)
+		connection.(*clientConn).displaced = true
+	}
+	l.mutex.Unlock()
+	if current {
 		_ = connection.Close() // No request is in progress.
 	}
 }
 
-// activeConnections returns the number of connections with a request in progress.
+// activeConnections returns the number of connections with a complete request in progress.
 func (l *Listener) activeConnections() int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	active := 0
-	for _, state := range l.busy {
-		if state == http.StateActive {
+	for place := range l.places {
+		if place.Stage == evictor.Handling || place.Stage == evictor.Replying {
 			active++
 		}
 	}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -163,6 +163,7 @@
 	s.listeners[0].Limits = s.Limits
 	for i, listener := range s.listeners {
 		listener.ReadTimeout, listener.WriteTimeout, listener.Logger = readTimeout, writeTimeout, s.Logger
+		listener.OnDisplaced = func() { meter.CountDisplaced(listener.Name) }
 		if err := listener.Run(); err != nil {
 			s.listeners = s.listeners[:i]
 			return errors.CombineErrors(err, s.closeListeners(context.Background()))
