sharer: bound the messages that other hosts send

Cause: the listener for hosts kept up to 16 MB of an incomplete message for each of 256 connections, the size of the largest reply. The requests that it receives take less than 100 bytes.

Change: a request may have 16 KB. Replies keep their 16 MB on the client's side.

--- a/internal/protocol/messenger/options.go
+++ b/internal/protocol/messenger/options.go
@@ -10,7 +10,17 @@
 // take 1.5 MB.
 const maxMessageBytes = 16 << 20
 
+// maxFollowBytes bounds a request for the state of the registry, which takes less than 100 bytes. A
+// connection keeps an incomplete message until it ends.
+const maxFollowBytes = 16 << 10
+
 // Options returns the options of the DRPC connections between hosts.
-func Options() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+func Options() drpcmanager.Options { return options(maxMessageBytes) }
+
+// RelayServerOptions returns the options of a server of the Relay service, which receives only small
+// messages.
+func RelayServerOptions() drpcmanager.Options { return options(maxFollowBytes) }
+
+func options(maxBytes int) drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxBytes}}
 }
--- a/internal/transport/sharer/server.go
+++ b/internal/transport/sharer/server.go
@@ -70,7 +70,7 @@
 	}
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: messenger.Options()})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: messenger.RelayServerOptions()})
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
