server, callers: bound the memory of the requests of all callers

Cause: the whole body was read before the route was looked up and before anything admitted the call. The operators' limit bounds one body; nothing bounded their sum. The stated length, chunks, and a missing route made no difference.

Change: bodies beyond 16 KB claim memory as their bytes arrive, 0.15 of the memory limit in all, and give it back with the reply. When it is used up, the request that has held the most memory for the longest time, a second at least, gives way with 503 and Retry-After: nothing has been sent, so "not run" is true. A limit in time or a least rate would hit slow bodies, which are legal; letting the newest one give way would let a crowd keep everybody out. A call without a route is refused before its body is read, a length over the limit without reading, and a body may take as long as its call: 408 afterwards, which says not run, where 400 was answered after 30 s.

--- a/internal/coordination/evictor/evictor_test.go
+++ b/internal/coordination/evictor/evictor_test.go
@@ -49,3 +49,111 @@
 		})
 	}
 }
+
+// client is a claim that counts its interrupts.
+type client struct {
+	*evictor.Claim
+	interrupts int
+}
+
+func newClient(m *evictor.Memory, age time.Duration) *client {
+	c := &client{}
+	c.Claim = m.NewClaim(start.Add(-age), func() { c.interrupts++ })
+	return c
+}
+
+func (c *client) check(t *testing.T, name string, interrupts int) {
+	t.Helper()
+	if got, want := c.interrupts, interrupts; got != want {
+		t.Errorf("interrupts of %s: got %d, want %d", name, got, want)
+	}
+}
+
+// TestMemoryOfCrowd guards against large requests that are refused because clients hold back the ends of others.
+func TestMemoryOfCrowd(t *testing.T) {
+	memory := &evictor.Memory{Limit: 100}
+	old, large, complete := newClient(memory, 20*time.Second), newClient(memory, 5*time.Second), newClient(memory, time.Minute)
+	for c, bytes := range map[*client]int64{old: 10, large: 50, complete: 40} {
+		if got, want := c.Grow(bytes, start), true; got != want {
+			t.Fatalf("memory of %d bytes: got %v, want %v", bytes, got, want)
+		}
+	}
+	complete.Hold()
+	fresh := newClient(memory, 0)
+	if got, want := fresh.Grow(30, start), true; got != want {
+		t.Errorf("new request: got %v, want %v", got, want)
+	}
+	old.check(t, "the small request", 0)
+	large.check(t, "the large request", 1)
+	complete.check(t, "the complete request", 0)
+	if got, want := large.Hold(), false; got != want {
+		t.Errorf("request that has given way is complete: got %v, want %v", got, want)
+	}
+	if got, want := large.Grow(1, start), false; got != want {
+		t.Errorf("request that has given way grows: got %v, want %v", got, want)
+	}
+	for _, c := range []*client{old, large, complete, fresh} {
+		c.Release()
+	}
+	if got, want := memory.Used(), int64(0); got != want {
+		t.Errorf("memory in use after the release: got %d, want %d", got, want)
+	}
+}
+
+// TestMemoryOfBurst guards against requests that displace one another while all of them arrive, so that none completes, and
+// against a client that displaces others although it has held more for longer.
+func TestMemoryOfBurst(t *testing.T) {
+	memory := &evictor.Memory{Limit: 100}
+	young := newClient(memory, 500*time.Millisecond)
+	young.Grow(90, start)
+	fresh := newClient(memory, 0)
+	if got, want := fresh.Grow(20, start), false; got != want {
+		t.Errorf("request beside a burst: got %v, want %v", got, want)
+	}
+	young.check(t, "a young request", 0)
+	heavy := newClient(memory, time.Minute)
+	heavy.Grow(10, start)
+	later := start.Add(time.Second)
+	if got, want := heavy.Grow(60, later), false; got != want {
+		t.Errorf("request that has held more for longer: got %v, want %v", got, want)
+	}
+	young.check(t, "a lighter request", 0)
+}
+
+// TestMemoryOfAnswers guards against answers that clients do not read and that keep out requests, and against memory of the
+// request that is kept beside the answer.
+func TestMemoryOfAnswers(t *testing.T) {
+	memory := &evictor.Memory{Limit: 100}
+	reader, closed := newClient(memory, time.Minute), 0
+	reader.Grow(80, start)
+	reader.Hold()
+	reader.Reply(start, func() { closed++ })
+	if got, want := reader.Grow(90, start), true; got != want {
+		t.Fatalf("answer: got %v, want %v", got, want)
+	}
+	fresh := newClient(memory, 0)
+	granted, wait := fresh.TryGrow(20, start)
+	if got, want := granted, false; got != want {
+		t.Errorf("request beside a new answer: got %v, want %v", got, want)
+	}
+	if got, want := wait, 100*time.Millisecond; got != want {
+		t.Errorf("wait: got %v, want %v", got, want)
+	}
+	reader.Progress(start.Add(200 * time.Millisecond))
+	if got, want := fresh.Grow(20, start.Add(250*time.Millisecond)), false; got != want {
+		t.Errorf("request beside an answer that is read: got %v, want %v", got, want)
+	}
+	freed := memory.Freed()
+	if got, want := fresh.Grow(20, start.Add(time.Second)), true; got != want {
+		t.Errorf("request beside an answer that is not read: got %v, want %v", got, want)
+	}
+	if got, want := closed, 1; got != want {
+		t.Errorf("closed connections: got %d, want %d", got, want)
+	}
+	reader.check(t, "the request", 0)
+	select {
+	case <-freed:
+	default:
+		t.Error("memory given back: got no signal, want one")
+	}
+}
--- a/internal/coordination/gatherer/gatherer.go
+++ b/internal/coordination/gatherer/gatherer.go
@@ -128,21 +128,32 @@
 	lastClosedAt   time.Time            // lastClosedAt is the latest of closedAt.
 }
 
+// Deadline returns when a call of a route ends in any case, unless the host stops earlier.
+func Deadline(call *wigeonspindle.Call, route *wigeonspindle.Route) time.Time {
+	remaining := call.CallerTimeout - roundTripOf(call) - callerTimeoutMargin
+	if call.CallerTimeout > 0 && remaining < route.Timeout {
+		return call.Arrived.Add(remaining)
+	}
+	return call.Arrived.Add(route.Timeout)
+}
+
+// roundTripOf returns the round-trip time between the caller and the host.
+func roundTripOf(call *wigeonspindle.Call) time.Duration {
+	if call.RoundTrip == 0 {
+		return defaultRoundTrip
+	}
+	return call.RoundTrip
+}
+
 // StartCall starts a call of a route and returns its first step. The call keeps the route, and with it the pools and
 // one configuration for the whole answer; each of its sends uses the replicas and failure domains of the time at which it is made.
 func (g *Gatherer) StartCall(call *wigeonspindle.Call, route *wigeonspindle.Route, now time.Time) (*CallState, Step) {
 	state := &CallState{
 		Call: call, Route: route, ConfigVersion: g.Deployment.Catalog.Version, gatherer: g, fingerprints: quarantiner.Fingerprints(call),
 	}
-	roundTrip := call.RoundTrip
-	if roundTrip == 0 {
-		roundTrip = defaultRoundTrip
-	}
+	roundTrip := roundTripOf(call)
 	waited := g.waitedBeforeArrival(call, route, now)
-	state.HardDeadline = call.Arrived.Add(route.Timeout)
-	if remaining := call.CallerTimeout - roundTrip - callerTimeoutMargin; call.CallerTimeout > 0 && remaining < route.Timeout {
-		state.HardDeadline = call.Arrived.Add(remaining)
-	}
+	state.HardDeadline = Deadline(call, route)
 	if !g.FinishBy.IsZero() {
 		if now.Add(g.requiredTime(route, now)).After(g.FinishBy) {
 			state.decided = true
--- a/internal/transport/administrator/callmeter.go
+++ b/internal/transport/administrator/callmeter.go
@@ -64,6 +64,13 @@
 // CountDisplaced counts a connection to a listener that was closed because all places were taken.
 func (m *CallMeter) CountDisplaced(listener string) { m.displaced.WithLabelValues(listener).Inc() }
 
+// MeasureRequestMemory adds a gauge of the memory that requests and answers hold, in bytes.
+func (m *CallMeter) MeasureRequestMemory(used func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "request_memory_bytes", Help: "Memory that large requests and answers of callers hold.",
+	}, func() float64 { return float64(used()) }))
+}
+
 // Handler serves the metrics in text format without compression.
 func (m *CallMeter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -14,7 +15,6 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/matcher"
 	"wigeonspindle.example/wigeonspindle/internal/state/queuer"
 	"wigeonspindle.example/wigeonspindle/internal/state/scheduler"
 	"wigeonspindle.example/wigeonspindle/internal/transport/exchanger"
@@ -86,7 +86,8 @@
 	pool        *exchanger.Pool
 	timers      scheduler.Timers
 	deployment  *wigeonspindle.DeploymentState
-	matcher     *matcher.Matcher
+	// routes is what calls are matched with. Only the dispatcher's goroutine replaces it.
+	routes atomic.Pointer[routes]
 	// invalidFieldLoggedAt is when each field with an invalid value was last logged.
 	invalidFieldLoggedAt map[string]time.Time
 	unlistedReportDue    bool            // unlistedReportDue reports that what the registry lacks will be reported.
@@ -127,6 +128,7 @@
 	d.events = queuer.New[exchanger.Event](eventQueueSize)
 	d.stop = make(chan struct{})
 	d.deployment = &wigeonspindle.DeploymentState{}
+	d.routes.Store(&routes{})
 	d.pool = &exchanger.Pool{
 		Dialect: d.Dialect, Clock: d.Clock, Events: d.events, Stop: d.stop, OnResult: d.handleResult, OnDial: d.handleDial, OnIdleClosed: d.handleIdleClosed, BodyMemory: d.BodyMemory,
 		Schedule: func(at time.Time, run func()) { d.timers.AddOnce(at, func(time.Time) { run() }) },
@@ -165,7 +167,7 @@
 	p := &pendingCall{call: call, reply: make(chan wigeonspindle.CallReply, 1)}
 	if !d.callQueue.Offer(p) {
 		reply := refusalReply(wigeonspindle.CodeOverloaded, wigeonspindle.NotRun, "the call queue is full", retryAfter)
-		d.logQueueFull(call, reply)
+		d.logUnqueued(call, reply)
 		return reply
 	}
 	select {
@@ -216,9 +218,7 @@
 }
 
 func (d *Dispatcher) applyDeployment(deployment *wigeonspindle.DeploymentState) {
-	if deployment.Catalog != d.deployment.Catalog && deployment.Catalog != nil {
-		d.matcher = matcher.New(deployment.Catalog)
-	}
+	d.routes.Store(d.routes.Load().update(deployment))
 	d.deployment = deployment
 	d.serving = balancer.Serves(deployment, d.Self)
 	replicaIDs := deployment.ReplicaIDs()
@@ -283,8 +283,9 @@
 		return
 	}
 	now := d.Clock.Now()
-	if reply, ok := d.matchRoute(p, now); !ok {
-		d.reply(p, reply, now)
+	var refusal *wigeonspindle.CallReply
+	if p.route, refusal = d.routes.Load().match(p.call, now); refusal != nil {
+		d.reply(p, *refusal, now)
 		return
 	}
 	state, step := d.Gatherer.StartCall(p.call, p.route, now)
@@ -297,21 +298,6 @@
 	d.execute(p, step, now)
 }
 
-// matchRoute sets the route of a call. Without a route, it returns a refusal and false.
-func (d *Dispatcher) matchRoute(p *pendingCall, now time.Time) (wigeonspindle.CallReply, bool) {
-	if d.matcher == nil {
-		return refusalReply(wigeonspindle.CodeUnavailable, wigeonspindle.NotRun, "no configuration is known yet", retryAfter), false
-	}
-	p.route = d.matcher.Match(p.call.Authority, p.call.Path)
-	if p.route != nil {
-		return wigeonspindle.CallReply{}, true
-	}
-	if now.Sub(d.deployment.RegistrySeen) > maxStateAge {
-		return refusalReply(wigeonspindle.CodeUnavailable, wigeonspindle.NotRun, "the route is not known and the registry does not answer", retryAfter), false
-	}
-	return refusalReply(wigeonspindle.CodeInvalid, wigeonspindle.NotRun, "no route matches", 0), false
-}
-
 // execute performs a step of a call: it replies, or sets the timer and sends.
 func (d *Dispatcher) execute(p *pendingCall, step gatherer.Step, now time.Time) {
 	if step.Reply != nil {
--- a/internal/transport/dispatcher/logs.go
+++ b/internal/transport/dispatcher/logs.go
@@ -75,9 +75,9 @@
 	d.Logger.Info("replied to call", append(fields, "outcome", outcome)...)
 }
 
-// logQueueFull logs the refusal of a call that was not queued and records its metrics. Unlike the other
+// logUnqueued logs the refusal of a call that was not queued and records its metrics. Unlike the other
 // methods it is called on the goroutine of the caller.
-func (d *Dispatcher) logQueueFull(call *wigeonspindle.Call, reply wigeonspindle.CallReply) {
+func (d *Dispatcher) logUnqueued(call *wigeonspindle.Call, reply wigeonspindle.CallReply) {
 	took := d.Clock.Now().Sub(call.Arrived)
 	d.Meter.ObserveReply("", string(reply.Refusal.Code), took)
 	d.Logger.Info("replied to call", "call", call.ID, "took", took, "caller_timeout", call.CallerTimeout, "verdict", reply.Refusal.Verdict,
--- a/internal/transport/server/client.go
+++ b/internal/transport/server/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -10,9 +11,21 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 )
 
+const (
+	// freeBytes of a request's body need no claim, so that small requests are served
+	// while the memory for large ones is used up.
+	freeBytes = 16 << 10
+	// firstBufferBytes is the size of the first buffer for a body.
+	firstBufferBytes = 4 << 10
+)
+
+// expired is a deadline in the past, which ends a read at once.
+var expired = time.Unix(1, 0)
+
 // ErrDisplaced reports that the connection of a request was closed before the request was complete.
 var ErrDisplaced = errors.New("the connection was closed before the request was complete")
 
@@ -29,6 +42,7 @@
 	listener  *Listener
 	roundTrip time.Duration // roundTrip is that of the handshake.
 	requests  atomic.Uint32 // requests counts the calls of ConnectionTiming, one for each request.
+	claim     *evictor.Claim
 	closing   sync.Once
 }
 
@@ -63,27 +77,105 @@
 	return client.roundTrip, 0
 }
 
-// serve passes a request to the handler.
+// serve passes a request to the handler and gives back the memory that it has claimed.
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
 	client := clientOf(r.Context())
+	if l.Memory != nil {
+		client.claim = l.Memory.NewClaim(time.Now(), func() { _ = client.SetReadDeadline(expired) })
+		defer client.claim.Release()
+	}
 	if r.Body == http.NoBody {
 		l.setStage(client, evictor.Replying)
 	}
 	l.Handler.ServeHTTP(w, r)
 }
 
+// ReadBody reads the body of a request, of at most limit bytes, and claims memory as the bytes
+// arrive. It returns a http.MaxBytesError when the body is longer, wigeonspindle.ErrMemory when the request has to
+// give way to others, and os.ErrDeadlineExceeded when the body does not arrive in time. After any
+// error, the connection is closed with the response.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := readBody(r, limit)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		if claim := claimOf(r.Context()); claim != nil && !claim.Hold() {
+			err = wigeonspindle.ErrMemory // The error of the interrupted read does not say why.
+		}
+	}
+	return body, err
+}
+
+// readBody doubles the buffer as long as the body continues, because a client may state a length
+// and send less.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	size := limit
+	switch {
+	case r.ContentLength > limit:
+		return nil, &http.MaxBytesError{Limit: limit}
+	case r.ContentLength >= 0:
+		size = r.ContentLength
+	}
+	claim := claimOf(r.Context())
+	body := make([]byte, 0, min(size, firstBufferBytes))
+	for {
+		if len(body) == cap(body) && int64(len(body)) < size {
+			grown := min(2*int64(cap(body)), size)
+			if claim != nil && grown > freeBytes && !claim.Grow(grown-max(int64(cap(body)), freeBytes), time.Now()) {
+				return nil, wigeonspindle.ErrMemory
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		var end [1]byte
+		space := body[len(body):cap(body)]
+		if len(space) == 0 {
+			space = end[:] // Only the end of the body may follow.
+		}
+		n, err := r.Body.Read(space)
+		if len(body)+n > cap(body) {
+			return nil, &http.MaxBytesError{Limit: limit}
+		}
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // StartHandling marks the request as complete, so that it does not give way until StartReply. It
-// returns ErrDisplaced when the request has given way before.
+// returns wigeonspindle.ErrMemory or ErrDisplaced when the request has given way before.
 func StartHandling(ctx context.Context) error {
-	if client := clientOf(ctx); client != nil && !client.listener.setStage(client, evictor.Handling) {
+	client := clientOf(ctx)
+	if client == nil {
+		return nil
+	}
+	if client.claim != nil && !client.claim.Hold() {
+		return wigeonspindle.ErrMemory
+	}
+	if !client.listener.setStage(client, evictor.Handling) {
 		return ErrDisplaced
 	}
 	return nil
 }
 
-// StartReply marks that the client may read the answer.
+// StartReply marks that the client may read the answer, and gives back the memory of the request.
 func StartReply(ctx context.Context) {
+	client := clientOf(ctx)
+	if client == nil {
+		return
+	}
+	client.listener.setStage(client, evictor.Replying)
+	if client.claim != nil {
+		client.claim.Release()
+	}
+}
+
+// claimOf returns the claim of a request, or nil if the memory is not limited.
+func claimOf(ctx context.Context) *evictor.Claim {
 	if client := clientOf(ctx); client != nil {
-		client.listener.setStage(client, evictor.Replying)
+		return client.claim
 	}
+	return nil
 }
--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -37,6 +37,8 @@
 	// Limits returns the header timeout and the idle timeout; nil means headerTimeout and
 	// idleTimeout.
 	Limits func() wigeonspindle.CallLimits
+	// Memory bounds what requests and answers hold; nil means no limit. Listeners may share it.
+	Memory *evictor.Memory
 	// OnDisplaced is called, if set, for each connection that is closed for a new one. It must not block.
 	OnDisplaced func()
 
--- a/internal/transport/server/places_test.go
+++ b/internal/transport/server/places_test.go
@@ -3,24 +3,29 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // listen starts a listener with two places and returns its address.
-func listen(t *testing.T, handler http.HandlerFunc) string {
+func listen(t *testing.T, memory *evictor.Memory, handler http.HandlerFunc) string {
 	t.Helper()
 	listener := &server.Listener{
 		Name: "test", Address: simulator.ReservedAddress(), Connections: 2, ReadTimeout: time.Minute, WriteTimeout: time.Minute, Logger: log.New(io.Discard),
-		Handler: handler,
+		Handler: handler, Memory: memory,
 	}
 	if err := listener.Run(); err != nil {
 		t.Fatal(err)
@@ -72,7 +77,7 @@
 		{"idle", wholeRequest, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			address := listen(t, func(_ http.ResponseWriter, r *http.Request) {
+			address := listen(t, nil, func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body) // Ends when the connection is closed.
 			})
 			for range 2 {
@@ -90,7 +95,7 @@
 	}
 	t.Run("being handled", func(t *testing.T) {
 		handling, release := make(chan struct{}, 3), make(chan struct{})
-		address := listen(t, func(_ http.ResponseWriter, r *http.Request) {
+		address := listen(t, nil, func(_ http.ResponseWriter, r *http.Request) {
 			if err := server.StartHandling(r.Context()); err != nil {
 				t.Errorf("start of a request: got %v, want none", err)
 			}
@@ -115,3 +120,84 @@
 		}
 	})
 }
+
+// TestReadBody guards against bodies that are changed by the way they are read, and against ones over the limit.
+func TestReadBody(t *testing.T) {
+	const limit = 40000
+	address := listen(t, &evictor.Memory{Limit: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		body, err := server.ReadBody(w, r, limit)
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		case err != nil:
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			_, _ = w.Write(body) // The test reports a body that is not received.
+		}
+	})
+	for _, test := range []struct{ size, status int }{{1, 200}, {4095, 200}, {4096, 200}, {4097, 200}, {16384, 200}, {16385, 200}, {limit, 200}, {limit + 1, 413}, {2 * limit, 413}} {
+		body := strings.Repeat("abcdefg", test.size/7+1)[:test.size]
+		for name, request := range map[string]string{
+			"length": fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", test.size, body),
+			"chunks": fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", body[:1], test.size, body),
+		} {
+			want := body
+			if name == "chunks" {
+				want = body[:1] + body
+			}
+			wantStatus := test.status
+			if len(want) > limit {
+				wantStatus = http.StatusRequestEntityTooLarge
+			}
+			connection := open(t, address, request)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil {
+				t.Errorf("%s of %d bytes: got %v, want a response", name, test.size, err)
+				continue
+			}
+			if got := response.StatusCode; got != wantStatus {
+				t.Errorf("%s of %d bytes: got status %d, want %d", name, test.size, got, wantStatus)
+			}
+			if got, err := io.ReadAll(response.Body); wantStatus == http.StatusOK && string(got) != want {
+				t.Errorf("%s of %d bytes: got a body of %d bytes (%v), want the one sent", name, test.size, len(got), err)
+			}
+			_ = connection.Close() // Frees the place for the next one.
+		}
+	}
+}
+
+// TestRequestMemory guards against a request that gives way without an answer that says that it has not run, and against
+// memory that is not given back.
+func TestRequestMemory(t *testing.T) {
+	memory := &evictor.Memory{Limit: 100000}
+	address := listen(t, memory, func(w http.ResponseWriter, r *http.Request) {
+		_, err := server.ReadBody(w, r, 1<<20)
+		if err == nil {
+			err = server.StartHandling(r.Context())
+		}
+		switch {
+		case errors.Is(err, wigeonspindle.ErrMemory):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case err != nil:
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+	request := func(missing int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n%s", strings.Repeat("w", 90000-missing))
+	}
+	stalled := open(t, address, request(1))
+	time.Sleep(1100 * time.Millisecond) // Requests younger than a second do not give way.
+	whole := open(t, address, request(0))
+	if got, want := status(whole), http.StatusOK; got != want {
+		t.Errorf("status of a whole request: got %d, want %d", got, want)
+	}
+	if got, want := status(stalled), http.StatusServiceUnavailable; got != want {
+		t.Errorf("status of a request without its end: got %d, want %d", got, want)
+	}
+	for deadline := time.Now().Add(waitTimeout); memory.Used() != 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	}
+	if got, want := memory.Used(), int64(0); got != want {
+		t.Errorf("memory in use: got %d, want %d", got, want)
+	}
+}
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -16,6 +16,7 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
@@ -70,6 +71,9 @@
 	// bodyMemoryShare is the fraction of the memory limit that large response bodies may use while they
 	// are read. Buffers that grow and the garbage collector need several times as much.
 	bodyMemoryShare = 0.1
+	// requestMemoryShare is the fraction of the memory limit that large requests of callers may
+	// hold. Growing buffers, connections and the garbage collector need several times as much.
+	requestMemoryShare = 0.15
 	// reservedFiles is the number of file descriptors reserved for files.
 	reservedFiles = 200
 	// internalConnections bounds the connections of each listener that serves no calls.
@@ -161,6 +165,9 @@
 		{Name: "metrics", Address: s.Settings.MetricsAddress, Handler: meter.Handler(), Connections: internalConnections},
 	}
 	s.listeners[0].Limits = s.Limits
+	memory := &evictor.Memory{Limit: int64(requestMemoryShare * float64(s.Settings.MemoryLimitMB<<20))}
+	s.listeners[0].Memory = memory
+	meter.MeasureRequestMemory(memory.Used)
 	for i, listener := range s.listeners {
 		listener.ReadTimeout, listener.WriteTimeout, listener.Logger = readTimeout, writeTimeout, s.Logger
 		listener.OnDisplaced = func() { meter.CountDisplaced(listener.Name) }
--- a/refusal.go
+++ b/refusal.go
@@ -1,6 +1,13 @@
 package wigeonspindle
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrMemory reports that a request or an answer has given way to others because the memory that a host reserves for them
+// is used up.
+var ErrMemory = errors.New("the memory for requests is used up")
 
 // Code classifies a refusal or a failed attempt.
 type Code string
--- a/registry.go
+++ b/registry.go
@@ -62,6 +62,9 @@
 
 // Gateway serves calls.
 type Gateway interface {
+	// Admit decides from its header whether a call is accepted, before its body is read. It returns
+	// when the call ends in any case, or a reply that refuses it.
+	Admit(call *Call) (deadline time.Time, refusal *CallReply)
 	// Handle serves a call and returns its answer. When ctx ends first, the call is
 	// withdrawn and the answer is a refusal.
 	Handle(ctx context.Context, call *Call) CallReply
