server, exchanger: bound the memory of answers until callers have read them

What callers saw: 280 callers that do not read answers of 1 MB take 654,092 KB on a host of 65,536 KB.

Cause: the memory for large responses covered the time in which they were read from the replica. Afterwards they waited in the rings and for their callers, for up to writeTimeout (10 minutes). A response without a length took twice its size.

Change: the memory of a response stays reserved until the caller's side has claimed its own, which replaces that of the request. Responses wait for memory instead of failing; one at a time may exceed the limit, so that bodies that hold a part each do not wait for one another. A caller that has read nothing for 100 ms gives way to others while the memory is used up. An answer without memory for 2 s is dropped: 502, as the call may have run, and the connection ends, because the next request on it would run for nothing too.

--- a/call.go
+++ b/call.go
@@ -96,6 +96,20 @@
 	// RetryAfter is how long the caller should wait before it retries; 0 when the host gives
 	// no advice.
 	RetryAfter time.Duration
+	// Release gives back the memory that the host keeps for the body of Response. The caller of Gateway.Handle calls it, if
+	// set, when it needs the body no longer or accounts for it otherwise.
+	Release func()
+}
+
+// Size returns the size of the body to pass on, in bytes.
+func (r *CallReply) Size() int {
+	switch {
+	case r.Response != nil:
+		return len(r.Response.Body)
+	case r.Merged != nil:
+		return len(r.Merged.Body)
+	}
+	return 0
 }
 
 // MergedResponse is the answer merged from the parts of several shards.
--- a/internal/transport/dispatcher/dispatcher.go
+++ b/internal/transport/dispatcher/dispatcher.go
@@ -105,6 +105,7 @@
 	reply     chan wigeonspindle.CallReply
 	timer     *scheduler.Timer
 	jobs      []*exchanger.Job // jobs are the sends without a result.
+	replying  *exchanger.Job   // replying is the send whose response is the reply, if its body is kept.
 	body      *bodyIdentity    // body is set when the body of the call has been dropped.
 	cancelled bool             // cancelled reports that the caller has disconnected.
 	abortAt   time.Time        // abortAt is when the remaining sends of a decided call are aborted.
@@ -172,11 +173,13 @@
 	}
 	select {
 	case reply := <-p.reply:
+		reply.Release = p.releaseReply(d.pool)
 		return reply
 	case <-ctx.Done():
 		d.cancelQueue.Put(p, d.stop)
 		select {
 		case <-p.reply: // The dispatcher keeps the body of the call until then.
+			p.releaseReply(d.pool)()
 		case <-d.stop:
 		}
 		return refusalReply(wigeonspindle.CodeCancelled, wigeonspindle.MayHaveRun, "the caller disconnected", 0)
@@ -185,6 +188,14 @@
 	}
 }
 
+// releaseReply returns the function that gives back the memory of the reply.
+func (p *pendingCall) releaseReply(pool *exchanger.Pool) func() {
+	if p.replying == nil {
+		return func() {}
+	}
+	return func() { pool.ReleaseBody(p.replying) }
+}
+
 func (d *Dispatcher) loop() {
 	next := time.NewTimer(time.Hour)
 	defer next.Stop()
--- a/internal/transport/dispatcher/sends.go
+++ b/internal/transport/dispatcher/sends.go
@@ -84,6 +84,9 @@
 	decided := p.state.Decided()
 	limit := d.Gatherer.Selector.Limit(key.send.Replica.ID)
 	step := p.state.HandleResult(key.send, exchange, now)
+	if step.Reply != nil && step.Reply.Response != nil && step.Reply.Response == exchange.Response {
+		job.KeepBody, p.replying = true, job
+	}
 	d.logLimit(key.send.Replica, limit)
 	d.logInvalidFields(key.send.Replica, exchange.Response, now)
 	noticed := p.state.Noticed
--- a/internal/transport/exchanger/connection.go
+++ b/internal/transport/exchanger/connection.go
@@ -59,9 +59,13 @@
 	Body   []byte // Body is shared by the sends of a call; the connection drops it once it is written.
 	// Key identifies the job to the user of the pool.
 	Key any
+	// KeepBody is set by OnResult when the body of the response is still needed. Its memory then stays reserved until
+	// Pool.ReleaseBody.
+	KeepBody bool
 
-	started time.Time
-	written atomic.Bool // written reports that bytes may have reached the replica.
+	reserved int64 // reserved is the memory of the body of the response, in bytes.
+	started  time.Time
+	written  atomic.Bool // written reports that bytes may have reached the replica.
 }
 
 // Waiting reports whether the job has no connection yet.
@@ -102,13 +106,14 @@
 	mutex      sync.Mutex
 	current    *Job
 	closed     bool
+	aborted    chan struct{} // aborted is closed by Abort.
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 }
 
 // Run opens the connection in the background.
 func (c *Connection) Run() {
-	c.jobs, c.dialled = queuer.New[*Job](1), c.Clock.Now()
+	c.jobs, c.dialled, c.aborted = queuer.New[*Job](1), c.Clock.Now(), make(chan struct{})
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	c.cancel = cancel
 	c.goroutines.Add(1)
@@ -144,6 +149,9 @@
 	c.cancel()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.closed {
+		close(c.aborted)
+	}
 	c.closed = true
 	if c.conn != nil {
 		_ = c.conn.Close() // readLoop returns, and serve reports the end.
@@ -291,13 +299,14 @@
 func (c *Connection) receive(reader *bufio.Reader, job *Job) (bool, error) {
 	matched := true
 	for unmatched := 0; ; unmatched++ {
-		response, body, err := c.readResponse(reader, job)
+		response, body, reserved, err := c.readResponse(reader, job)
 		if err != nil {
 			c.reportFailure(job, err)
 			return false, err
 		}
 		answer := c.Dialect.Response(response, body)
 		if answer.CallID != "" && answer.CallID != job.Call.ID {
+			c.memory.release(reserved)
 			if unmatched == maxUnmatchedResponses {
 				err := errors.New("too many responses to other requests")
 				c.reportFailure(job, err)
@@ -316,31 +325,33 @@
 		if answer.Refused {
 			exchange.Verdict = wigeonspindle.NotRun
 		}
+		job.reserved = reserved
 		c.report(Event{Connection: c, Job: job, Exchange: exchange, Closed: !reusable})
 		return reusable, nil
 	}
 }
 
-// readResponse reads one complete response. It skips interim responses.
-func (c *Connection) readResponse(reader *bufio.Reader, job *Job) (*http.Response, []byte, error) {
+// readResponse reads one complete response and returns the bytes that stay reserved for its body. It skips interim
+// responses.
+func (c *Connection) readResponse(reader *bufio.Reader, job *Job) (response *http.Response, body []byte, reserved int64, err error) {
 	request := &http.Request{Method: job.Call.Method}
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, nil, errors.Wrap(boundError(err), "read response")
+			return nil, nil, 0, errors.Wrap(boundError(err), "read response")
 		}
 		switch status := response.StatusCode; {
 		case status < minStatus || status > maxStatus:
-			return nil, nil, errors.Newf("read response: status code %03d is outside %d to %d", status, minStatus, maxStatus)
+			return nil, nil, 0, errors.Newf("read response: status code %03d is outside %d to %d", status, minStatus, maxStatus)
 		case status < http.StatusOK:
 			continue
 		}
 		c.limit.remaining = maxBodyBytes + maxFramingBytes
-		body, err := c.memory.readBody(response)
+		body, reserved, err := c.memory.readBody(response, c.aborted)
 		if err != nil {
-			return nil, nil, errors.Wrap(boundError(err), "read response body")
+			return nil, nil, 0, errors.Wrap(boundError(err), "read response body")
 		}
-		return response, body, nil
+		return response, body, reserved, nil
 	}
 }
 
--- a/internal/transport/exchanger/pool.go
+++ b/internal/transport/exchanger/pool.go
@@ -205,9 +205,16 @@
 		r.broke = true
 	}
 	p.OnResult(event.Job, event.Exchange, event.Err)
+	if !event.Job.KeepBody {
+		p.ReleaseBody(event.Job)
+	}
 	p.checkReachable(r, connection.Replica) // A dial tells something only if it starts after the result is recorded.
 }
 
+// ReleaseBody gives back the memory of the response to a job, whose body is no longer needed. It may be called on any
+// goroutine, once for each job with KeepBody.
+func (p *Pool) ReleaseBody(job *Job) { p.memory.release(job.reserved) }
+
 // handleClosed processes the end of a connection, or its failure to open. Waiting jobs for which
 // no opening connection is left fail.
 func (p *Pool) handleClosed(r *replicaConnections, event Event) {
--- a/internal/transport/server/client.go
+++ b/internal/transport/server/client.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,9 +17,13 @@
 )
 
 const (
-	// freeBytes of a request's body need no claim, so that small requests are served
+	// freeBytes of a request's body, or of an answer, need no claim, so that small requests are served
 	// while the memory for large ones is used up.
 	freeBytes = 16 << 10
+	// pieceBytes is the size of the pieces in which an answer is written.
+	pieceBytes = 16 << 10
+	// replyTimeout bounds how long an answer waits for memory.
+	replyTimeout = 2 * time.Second
 	// firstBufferBytes is the size of the first buffer for a body.
 	firstBufferBytes = 4 << 10
 )
@@ -160,16 +165,56 @@
 	return nil
 }
 
-// StartReply marks that the client may read the answer, and gives back the memory of the request.
-func StartReply(ctx context.Context) {
+// StartReply marks that the client may read an answer of the given size, in bytes, and claims memory
+// for it in place of the request. It waits for the memory until others that do not read their answers
+// have been disconnected, and returns wigeonspindle.ErrMemory if that takes too long; the answer must
+// then be dropped.
+func StartReply(ctx context.Context, size int) error {
 	client := clientOf(ctx)
 	if client == nil {
-		return
+		return nil
+	}
+	defer client.listener.setStage(client, evictor.Replying)
+	if client.claim == nil {
+		return nil
+	}
+	client.claim.Reply(time.Now(), func() { _ = client.Close() })
+	if size <= freeBytes {
+		return nil
+	}
+	timeout := time.NewTimer(replyTimeout)
+	defer timeout.Stop()
+	for {
+		freed := client.listener.Memory.Freed()
+		client.claim.Progress(time.Now()) // The time of waiting is not the client's.
+		granted, wait := client.claim.TryGrow(int64(size-freeBytes), time.Now())
+		if granted {
+			return nil
+		}
+		select {
+		case <-freed:
+		case <-time.After(wait):
+		case <-timeout.C:
+			return wigeonspindle.ErrMemory
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	client.listener.setStage(client, evictor.Replying)
-	if client.claim != nil {
-		client.claim.Release()
+}
+
+// WriteBody writes the body of an answer in pieces, so that a client that reads slowly can be told from
+// one that does not read.
+func WriteBody(ctx context.Context, w io.Writer, body []byte) error {
+	claim := claimOf(ctx)
+	for piece := range slices.Chunk(body, pieceBytes) {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+		if claim != nil && len(body) > freeBytes {
+			claim.Progress(time.Now())
+		}
 	}
+	return nil
 }
 
 // claimOf returns the claim of a request, or nil if the memory is not limited.
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -71,7 +71,7 @@
 	// bodyMemoryShare is the fraction of the memory limit that large response bodies may use while they
 	// are read. Buffers that grow and the garbage collector need several times as much.
 	bodyMemoryShare = 0.1
-	// requestMemoryShare is the fraction of the memory limit that large requests of callers may
+	// requestMemoryShare is the fraction of the memory limit that large requests and answers of callers may
 	// hold. Growing buffers, connections and the garbage collector need several times as much.
 	requestMemoryShare = 0.15
 	// reservedFiles is the number of file descriptors reserved for files.
