server: bound the memory of queries on the older path

A query of up to 1 MB on each of 4,096 connections was read, decoded and copied with no bound on the sum, and the settings have no memory limit.

Change: the setting buffer (256 MB by default, 1 to 1048576) bounds the bodies, three copies each, and the answers that callers have not read. The same rule decides who gives way: 503 with verdict not-run.

--- a/cmd/wigeonspindle/process_test.go
+++ b/cmd/wigeonspindle/process_test.go
@@ -131,7 +131,7 @@
 	for i := range hosts {
 		s := parser.Settings{
 			Name: fmt.Sprintf("host-%d", i), Domain: domains[i%len(domains)], Cell: "main", CallerAddress: free[3*i], LinkAddress: free[3*i+1], AdminAddress: free[3*i+2],
-			Token: "token-of-the-end-to-end-tests-only", StoreAddress: c.addresses.Store, HostListAddress: c.addresses.Hosts, Workers: 2, LogLevel: "warn", MaxBodyBytes: 1 << 20, MaxConnections: 4096,
+			Token: "token-of-the-end-to-end-tests-only", StoreAddress: c.addresses.Store, HostListAddress: c.addresses.Hosts, Workers: 2, LogLevel: "warn", MaxBodyBytes: 1 << 20, RequestMemoryMB: crowdRequestMemoryMB, MaxConnections: 4096,
 		}
 		c.settings = append(c.settings, s)
 		listings = append(listings, wigeonspindle.ListedHost{Name: s.Name, LinkAddress: s.LinkAddress})
--- a/internal/protocol/encoder/query.go
+++ b/internal/protocol/encoder/query.go
@@ -86,6 +86,8 @@
 			Code: wigeonspindle.CodeTooLarge, Verdict: wigeonspindle.NotRun,
 			Message: fmt.Sprintf("the request body exceeds %d bytes", tooLarge.Limit),
 		}
+	case errors.Is(err, wigeonspindle.ErrMemory):
+		return &wigeonspindle.Refusal{Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: err.Error()}
 	case err != nil:
 		return invalidField("", "the request body was not received: "+err.Error())
 	case !utf8.Valid(data):
--- a/internal/protocol/parser/settings.go
+++ b/internal/protocol/parser/settings.go
@@ -39,6 +39,9 @@
 	LogLevel string `json:"level" validate:"oneof=debug info warn error"`
 	// MaxBodyBytes is the largest request body of a caller, in bytes.
 	MaxBodyBytes int64 `json:"body" validate:"min=1024,max=16777216"`
+	// RequestMemoryMB is the memory, in megabytes, that the bodies of callers' requests and the answers that they have not read
+	// may hold together.
+	RequestMemoryMB int64 `json:"buffer,omitempty" validate:"min=1,max=1048576"`
 	// MaxConnections is the largest number of open connections from callers.
 	MaxConnections int `json:"connections" validate:"min=1,max=65536"`
 }
@@ -51,7 +54,7 @@
 
 // defaults returns the default values of the optional settings.
 func defaults() Settings {
-	return Settings{Cell: "main", Workers: 2, LogLevel: "info", MaxBodyBytes: 1 << 20, MaxConnections: 4096}
+	return Settings{Cell: "main", Workers: 2, LogLevel: "info", MaxBodyBytes: 1 << 20, RequestMemoryMB: 256, MaxConnections: 4096}
 }
 
 // LoadSettings reads and validates a settings file.
--- a/internal/protocol/parser/settings_test.go
+++ b/internal/protocol/parser/settings_test.go
@@ -27,6 +27,7 @@
 		{"short token", "0123456789abcdef", "secret", "token: got a hidden value, accepted: not empty, at least 16 characters, at most 256 characters, only printable ASCII characters"},
 		{"workers", `"name"`, `"workers":0,"name"`, "workers: got 0, accepted: at least 1, at most 64"},
 		{"type", `"name"`, `"workers":"2","name"`, "workers: must be a whole number"},
+		{"request memory", `"name"`, `"buffer":0,"name"`, "buffer: got 0, accepted: at least 1, at most 1048576"},
 		{"level", `"name"`, `"level":"loud","name"`, `level: got "loud", accepted: one of debug, info, warn, error`},
 		{"peer", `"name"`, `"peers":["192.0.2.3:1","x"],"name"`, `peers[1]: got "x", accepted: an IP address with a port, such as 10.0.0.1:8080`},
 		{"label", "host-1", "host 1", `name: got "host 1", accepted: not empty, at most 64 characters, only letters, digits, dots, underscores and hyphens, the first one a letter or digit`},
--- a/internal/transport/launcher/host.go
+++ b/internal/transport/launcher/host.go
@@ -109,7 +109,7 @@
 	h.leases = newLeaseLoop(h)
 	h.server = &server.Server{
 		Address: h.self.CallerAddress, Frontend: frontend{host: h}, Clock: h.Clock, Logger: h.Logger,
-		Body: h.Settings.MaxBodyBytes, Connections: h.Settings.MaxConnections,
+		Body: h.Settings.MaxBodyBytes, Memory: h.Settings.RequestMemoryMB << 20, Connections: h.Settings.MaxConnections,
 	}
 	if err := h.linker.Run(); err != nil {
 		return err
--- a/internal/transport/server/client.go
+++ b/internal/transport/server/client.go
@@ -224,3 +224,26 @@
 	}
 	return nil
 }
+
+// claimedReader claims memory for the bytes that it reads. It returns wigeonspindle.ErrMemory as ReadBody
+// does.
+type claimedReader struct {
+	reader io.Reader
+	claim  *evictor.Claim
+	copies int64 // copies is the number of copies that are made of the bytes.
+	read   int64
+}
+
+// Read implements io.Reader.
+func (c *claimedReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	claimed := max(c.read*c.copies-freeBytes, 0)
+	c.read += int64(n)
+	interrupted := err != nil && !errors.Is(err, io.EOF)
+	if grown := max(c.read*c.copies-freeBytes, 0) - claimed; grown > 0 || interrupted {
+		if c.claim != nil && !c.claim.Grow(grown, time.Now()) {
+			return n, wigeonspindle.ErrMemory
+		}
+	}
+	return n, err
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
+	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -20,6 +21,10 @@
 	// writeTimeout exceeds the longest budget, so that every answer can be written.
 	writeTimeout       = encoder.MaxBudget + 15*time.Second
 	defaultConnections = 4096
+	defaultMemory      = 256 << 20
+	// bodyCopies is the number of copies of a request's body while it is decoded: the JSON text, the
+	// decoded string and the body of the query.
+	bodyCopies = 3
 )
 
 // Server serves the HTTP API for callers.
@@ -29,6 +34,7 @@
 	Clock       wigeonspindle.Clock
 	Logger      *log.Logger
 	Body        int64         // Body is the maximum request body in bytes; 0 means encoder.MaxBodyBytes.
+	Memory      int64         // Memory bounds the memory of request bodies and answers in bytes; 0 means defaultMemory.
 	Connections int           // Connections is the maximum number of open connections; 0 means defaultConnections.
 	ReadTimeout time.Duration // ReadTimeout bounds the time to read a request; 0 means readTimeout.
 
@@ -44,6 +50,10 @@
 	s.listener = Listener{
 		Name: "callers", Address: s.Address, Handler: router, Connections: s.Connections,
 		ReadTimeout: s.ReadTimeout, WriteTimeout: writeTimeout, Logger: s.Logger,
+		Memory: &evictor.Memory{Limit: s.Memory},
+	}
+	if s.Memory == 0 {
+		s.listener.Memory.Limit = defaultMemory
 	}
 	if s.listener.Connections == 0 {
 		s.listener.Connections = defaultConnections
@@ -67,11 +77,20 @@
 	if limit == 0 {
 		limit = encoder.MaxBodyBytes
 	}
-	query, refusal := encoder.DecodeQuery(&Body{Source: request.Body, Limit: limit}, s.Clock.Now())
+	body := claimedReader{reader: &Body{Source: request.Body, Limit: limit}, claim: claimOf(request.Context()), copies: bodyCopies}
+	query, refusal := encoder.DecodeQuery(&body, s.Clock.Now())
+	if refusal == nil {
+		refusal = startHandling(request.Context())
+	}
 	if refusal != nil {
 		return c.JSON(encoder.HTTPStatus(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
 	}
 	answer := s.Frontend.Query(request.Context(), query)
+	if err := StartReply(request.Context(), answerBytes(answer)); err != nil {
+		answer = wigeonspindle.Answer{ID: answer.ID, Trace: answer.Trace, Verdict: wigeonspindle.MayHaveRun, Refusal: &wigeonspindle.Refusal{
+			Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.MayHaveRun, Message: err.Error(),
+		}}
+	}
 	if s.Frontend.Leaving() || answer.Refusal != nil && answer.Refusal.Code == wigeonspindle.CodeLeaving {
 		// The caller should connect to another host. On a connection that stays open, its next
 		// request could be lost when the listener closes at the end of the shutdown.
@@ -82,3 +101,20 @@
 	}
 	return c.JSON(http.StatusOK, answer)
 }
+
+// startHandling refuses a query that has given way before it was complete.
+func startHandling(ctx context.Context) *wigeonspindle.Refusal {
+	if err := StartHandling(ctx); err != nil {
+		return &wigeonspindle.Refusal{Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: err.Error()}
+	}
+	return nil
+}
+
+// answerBytes returns the size of the bodies in an answer.
+func answerBytes(answer wigeonspindle.Answer) int {
+	size := 0
+	for _, result := range answer.Results {
+		size += len(result.Body)
+	}
+	return size
+}
