server: end an interrupted connection with its request

A claim gives way under a lock, but its interrupt runs after it: if the request ended in between, the interrupt could close the connection under the next request on it, which may be in progress at a replica. And a request that had given way after its last byte was refused without the end of its connection, whose reads were cut off.

The interrupt of an answer now closes the connection only while the claim is that of the request in progress, under the lock of the start of a request. A refusal of a request that has given way closes the connection. TestUnreadAnswer shows an answer that gives way to another.

--- a/internal/transport/server/client.go
+++ b/internal/transport/server/client.go
@@ -40,14 +40,14 @@
 // clientConn is an accepted connection.
 type clientConn struct {
 	net.Conn
-	// The mutex of listener guards Place and displaced.
+	// The mutex of listener guards Place, displaced and, for other goroutines than that of the request, claim.
 	evictor.Place
-	displaced bool // displaced reports that the connection has been closed for another one or after a timeout.
+	displaced bool           // displaced reports that the connection has been closed for another one or after a timeout.
+	claim     *evictor.Claim // claim is that of the request in progress; nil if the memory is not limited.
 
 	listener  *Listener
 	roundTrip time.Duration // roundTrip is that of the handshake.
 	requests  atomic.Uint32 // requests counts the calls of ConnectionTiming, one for each request.
-	claim     *evictor.Claim
 	closing   sync.Once
 }
 
@@ -57,6 +57,26 @@
 	return c.Conn.Close()
 }
 
+func (c *clientConn) setClaim(claim *evictor.Claim) {
+	c.listener.mutex.Lock()
+	defer c.listener.mutex.Unlock()
+	c.claim = claim
+}
+
+// closeFor closes the connection because the claim of its request has given way, unless the request has
+// ended meanwhile: the next one on the connection may be in progress.
+func (c *clientConn) closeFor(claim *evictor.Claim) {
+	c.listener.mutex.Lock()
+	current := c.claim == claim
+	if current {
+		c.displaced = true
+	}
+	c.listener.mutex.Unlock()
+	if current {
+		_ = c.Close() // The client does not read its answer.
+	}
+}
+
 // clientOf returns the connection of a request, or nil if it did not arrive through a Listener.
 func clientOf(ctx context.Context) *clientConn {
 	client, _ := ctx.Value(clientKey{}).(*clientConn)
@@ -86,8 +106,12 @@
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
 	client := clientOf(r.Context())
 	if l.Memory != nil {
-		client.claim = l.Memory.NewClaim(time.Now(), func() { _ = client.SetReadDeadline(expired) })
-		defer client.claim.Release()
+		claim := l.Memory.NewClaim(time.Now(), func() { _ = client.SetReadDeadline(expired) })
+		client.setClaim(claim)
+		defer func() {
+			client.setClaim(nil)
+			claim.Release()
+		}()
 	}
 	if r.Body == http.NoBody {
 		l.setStage(client, evictor.Replying)
@@ -96,9 +120,9 @@
 }
 
 // ReadBody reads the body of a request, of at most limit bytes, and claims memory as the bytes
-// arrive. It returns a http.MaxBytesError when the body is longer, wigeonspindle.ErrMemory when the request has to
-// give way to others, and os.ErrDeadlineExceeded when the body does not arrive in time. After any
-// error, the connection is closed with the response.
+// arrive. It returns a http.MaxBytesError when the body is longer, wigeonspindle.ErrMemory when the
+// request has to give way to others, and os.ErrDeadlineExceeded when the body does not arrive in time.
+// After any error, the connection is closed with the response.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	body, err := readBody(r, limit)
 	if err != nil {
@@ -150,7 +174,8 @@
 }
 
 // StartHandling marks the request as complete, so that it does not give way until StartReply. It
-// returns wigeonspindle.ErrMemory or ErrDisplaced when the request has given way before.
+// returns wigeonspindle.ErrMemory or ErrDisplaced when the request has given way before; the handler
+// must then close the connection.
 func StartHandling(ctx context.Context) error {
 	client := clientOf(ctx)
 	if client == nil {
@@ -178,7 +203,8 @@
 	if client.claim == nil {
 		return nil
 	}
-	client.claim.Reply(time.Now(), func() { _ = client.Close() })
+	claim := client.claim
+	claim.Reply(time.Now(), func() { client.closeFor(claim) })
 	if size <= freeBytes {
 		return nil
 	}
@@ -186,8 +212,8 @@
 	defer timeout.Stop()
 	for {
 		freed := client.listener.Memory.Freed()
-		client.claim.Progress(time.Now()) // The time of waiting is not the client's.
-		granted, wait := client.claim.TryGrow(int64(size-freeBytes), time.Now())
+		claim.Progress(time.Now()) // The time of waiting is not the client's.
+		granted, wait := claim.TryGrow(int64(size-freeBytes), time.Now())
 		if granted {
 			return nil
 		}
--- a/internal/transport/server/places_test.go
+++ b/internal/transport/server/places_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -201,3 +202,38 @@
 		t.Errorf("memory in use: got %d, want %d", got, want)
 	}
 }
+
+// TestUnreadAnswer guards against answers that get no memory because another client does not read its own, and against an
+// unread answer that looks complete.
+func TestUnreadAnswer(t *testing.T) {
+	const size = 16 << 20 // The buffers of a connection hold less.
+	memory := &evictor.Memory{Limit: size * 5 / 4}
+	body := make([]byte, size)
+	address := listen(t, memory, func(w http.ResponseWriter, r *http.Request) {
+		if err := server.StartReply(r.Context(), size); err != nil {
+			t.Errorf("memory for an answer: got %v, want none", err)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_ = server.WriteBody(r.Context(), w, body) // The test reads what arrives.
+	})
+	unread := open(t, address, wholeRequest)
+	eventually := time.Now().Add(waitTimeout)
+	for memory.Used() == 0 && time.Now().Before(eventually) {
+		time.Sleep(time.Millisecond)
+	}
+	for _, test := range []struct {
+		name       string
+		connection net.Conn
+		complete   bool
+	}{{"beside an unread answer", open(t, address, wholeRequest), true}, {"unread", unread, false}} {
+		response, err := http.ReadResponse(bufio.NewReader(test.connection), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		if complete := err == nil && len(got) == size; complete != test.complete {
+			t.Errorf("answer %s: got %d bytes (%v), want complete %v", test.name, len(got), err, test.complete)
+		}
+	}
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -80,7 +80,10 @@
 	body := claimedReader{reader: &Body{Source: request.Body, Limit: limit}, claim: claimOf(request.Context()), copies: bodyCopies}
 	query, refusal := encoder.DecodeQuery(&body, s.Clock.Now())
 	if refusal == nil {
-		refusal = startHandling(request.Context())
+		if err := StartHandling(request.Context()); err != nil {
+			c.Response().Header().Set("Connection", "close") // Reading from it has been interrupted.
+			refusal = &wigeonspindle.Refusal{Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: err.Error()}
+		}
 	}
 	if refusal != nil {
 		return c.JSON(encoder.HTTPStatus(refusal), wigeonspindle.Answer{Verdict: refusal.Verdict, Refusal: refusal})
@@ -102,14 +105,6 @@
 	return c.JSON(http.StatusOK, answer)
 }
 
-// startHandling refuses a query that has given way before it was complete.
-func startHandling(ctx context.Context) *wigeonspindle.Refusal {
-	if err := StartHandling(ctx); err != nil {
-		return &wigeonspindle.Refusal{Code: wigeonspindle.CodeOverloaded, Verdict: wigeonspindle.NotRun, Message: err.Error()}
-	}
-	return nil
-}
-
 // answerBytes returns the size of the bodies in an answer.
 func answerBytes(answer wigeonspindle.Answer) int {
 	size := 0
