--- a/internal/transport/server/places_test.go
+++ b/internal/transport/server/places_test.go
@@ -196,7 +196,8 @@
 	if got, want := status(stalled), http.StatusServiceUnavailable; got != want {
 		t.Errorf("status of a request without its end: got %d, want %d", got, want)
 	}
-	for deadline := time.Now().Add(waitTimeout); memory.Used() != 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(waitTimeout); memory.Used() != 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
 	}
 	if got, want := memory.Used(), int64(0); got != want {
 		t.Errorf("memory in use: got %d, want %d", got, want)
