evictor, server: keep locks and signals out of the decision

Coordination holds no locks and returns what to do. The memory of requests had a mutex, a channel and the calls that interrupt clients in package evictor. Now the evictor returns the claims that give way, and the server's Memory has the lock, the interrupts and the signal to those who wait. No change of behaviour; the tests of the evictor count the returned claims in place of the calls.

--- a/internal/coordination/evictor/evictor_test.go
+++ b/internal/coordination/evictor/evictor_test.go
@@ -50,18 +50,43 @@
 	}
 }
 
-// client is a claim that counts its interrupts.
+// client is a claim that counts how often it has to be interrupted.
 type client struct {
 	*evictor.Claim
+	memory     *clients
 	interrupts int
 }
 
-func newClient(m *evictor.Memory, age time.Duration) *client {
-	c := &client{}
-	c.Claim = m.NewClaim(start.Add(-age), func() { c.interrupts++ })
+// clients is a memory with its clients.
+type clients struct {
+	evictor.Memory
+	byClaim map[*evictor.Claim]*client
+}
+
+func newClients(limit int64) *clients {
+	return &clients{Memory: evictor.Memory{Limit: limit}, byClaim: make(map[*evictor.Claim]*client)}
+}
+
+func newClient(m *clients, age time.Duration) *client {
+	c := &client{Claim: evictor.NewClaim(start.Add(-age)), memory: m}
+	m.byClaim[c.Claim] = c
 	return c
 }
 
+// Grow adds bytes and counts the interrupts of the clients that give way.
+func (c *client) Grow(bytes int64, now time.Time) bool {
+	granted, _ := c.TryGrow(bytes, now)
+	return granted
+}
+
+func (c *client) TryGrow(bytes int64, now time.Time) (bool, time.Duration) {
+	granted, victims, wait := c.memory.Grow(c.Claim, bytes, now)
+	for _, victim := range victims {
+		c.memory.byClaim[victim].interrupts++
+	}
+	return granted, wait
+}
+
 func (c *client) check(t *testing.T, name string, interrupts int) {
 	t.Helper()
 	if got, want := c.interrupts, interrupts; got != want {
@@ -71,7 +96,7 @@
 
 // TestMemoryOfCrowd guards against large requests that are refused because clients hold back the ends of others.
 func TestMemoryOfCrowd(t *testing.T) {
-	memory := &evictor.Memory{Limit: 100}
+	memory := newClients(100)
 	old, large, complete := newClient(memory, 20*time.Second), newClient(memory, 5*time.Second), newClient(memory, time.Minute)
 	for c, bytes := range map[*client]int64{old: 10, large: 50, complete: 40} {
 		if got, want := c.Grow(bytes, start), true; got != want {
@@ -93,7 +118,7 @@
 		t.Errorf("request that has given way grows: got %v, want %v", got, want)
 	}
 	for _, c := range []*client{old, large, complete, fresh} {
-		c.Release()
+		memory.Release(c.Claim)
 	}
 	if got, want := memory.Used(), int64(0); got != want {
 		t.Errorf("memory in use after the release: got %d, want %d", got, want)
@@ -103,7 +128,7 @@
 // TestMemoryOfBurst guards against requests that displace one another while all of them arrive, so that none completes, and
 // against a client that displaces others although it has held more for longer.
 func TestMemoryOfBurst(t *testing.T) {
-	memory := &evictor.Memory{Limit: 100}
+	memory := newClients(100)
 	young := newClient(memory, 500*time.Millisecond)
 	young.Grow(90, start)
 	fresh := newClient(memory, 0)
@@ -123,11 +148,11 @@
 // TestMemoryOfAnswers guards against answers that clients do not read and that keep out requests, and against memory of the
 // request that is kept beside the answer.
 func TestMemoryOfAnswers(t *testing.T) {
-	memory := &evictor.Memory{Limit: 100}
-	reader, closed := newClient(memory, time.Minute), 0
+	memory := newClients(100)
+	reader := newClient(memory, time.Minute)
 	reader.Grow(80, start)
 	reader.Hold()
-	reader.Reply(start, func() { closed++ })
+	memory.Reply(reader.Claim, start)
 	if got, want := reader.Grow(90, start), true; got != want {
 		t.Fatalf("answer: got %v, want %v", got, want)
 	}
@@ -143,17 +168,8 @@
 	if got, want := fresh.Grow(20, start.Add(250*time.Millisecond)), false; got != want {
 		t.Errorf("request beside an answer that is read: got %v, want %v", got, want)
 	}
-	freed := memory.Freed()
 	if got, want := fresh.Grow(20, start.Add(time.Second)), true; got != want {
 		t.Errorf("request beside an answer that is not read: got %v, want %v", got, want)
 	}
-	if got, want := closed, 1; got != want {
-		t.Errorf("closed connections: got %d, want %d", got, want)
-	}
-	reader.check(t, "the request", 0)
-	select {
-	case <-freed:
-	default:
-		t.Error("memory given back: got no signal, want one")
-	}
+	reader.check(t, "the client that does not read", 1)
 }
--- a/internal/transport/server/client.go
+++ b/internal/transport/server/client.go
@@ -42,8 +42,8 @@
 	net.Conn
 	// The mutex of listener guards Place, displaced and, for other goroutines than that of the request, claim.
 	evictor.Place
-	displaced bool           // displaced reports that the connection has been closed for another one or after a timeout.
-	claim     *evictor.Claim // claim is that of the request in progress; nil if the memory is not limited.
+	displaced bool   // displaced reports that the connection has been closed for another one or after a timeout.
+	claim     *claim // claim is that of the request in progress; nil if the memory is not limited.
 
 	listener  *Listener
 	roundTrip time.Duration // roundTrip is that of the handshake.
@@ -57,7 +57,7 @@
 	return c.Conn.Close()
 }
 
-func (c *clientConn) setClaim(claim *evictor.Claim) {
+func (c *clientConn) setClaim(claim *claim) {
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
 	c.claim = claim
@@ -65,7 +65,7 @@
 
 // closeFor closes the connection because the claim of its request has given way, unless the request has
 // ended meanwhile: the next one on the connection may be in progress.
-func (c *clientConn) closeFor(claim *evictor.Claim) {
+func (c *clientConn) closeFor(claim *claim) {
 	c.listener.mutex.Lock()
 	current := c.claim == claim
 	if current {
@@ -106,11 +106,11 @@
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
 	client := clientOf(r.Context())
 	if l.Memory != nil {
-		claim := l.Memory.NewClaim(time.Now(), func() { _ = client.SetReadDeadline(expired) })
+		claim := l.Memory.newClaim(func() { _ = client.SetReadDeadline(expired) })
 		client.setClaim(claim)
 		defer func() {
 			client.setClaim(nil)
-			claim.Release()
+			claim.release()
 		}()
 	}
 	if r.Body == http.NoBody {
@@ -127,7 +127,7 @@
 	body, err := readBody(r, limit)
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		if claim := claimOf(r.Context()); claim != nil && !claim.Hold() {
+		if claim := claimOf(r.Context()); claim != nil && !claim.hold() {
 			err = wigeonspindle.ErrMemory // The error of the interrupted read does not say why.
 		}
 	}
@@ -149,8 +149,10 @@
 	for {
 		if len(body) == cap(body) && int64(len(body)) < size {
 			grown := min(2*int64(cap(body)), size)
-			if claim != nil && grown > freeBytes && !claim.Grow(grown-max(int64(cap(body)), freeBytes), time.Now()) {
-				return nil, wigeonspindle.ErrMemory
+			if claim != nil && grown > freeBytes {
+				if granted, _, _ := claim.grow(grown - max(int64(cap(body)), freeBytes)); !granted {
+					return nil, wigeonspindle.ErrMemory
+				}
 			}
 			body = append(make([]byte, 0, grown), body...)
 		}
@@ -181,7 +183,7 @@
 	if client == nil {
 		return nil
 	}
-	if client.claim != nil && !client.claim.Hold() {
+	if client.claim != nil && !client.claim.hold() {
 		return wigeonspindle.ErrMemory
 	}
 	if !client.listener.setStage(client, evictor.Handling) {
@@ -204,16 +206,15 @@
 		return nil
 	}
 	claim := client.claim
-	claim.Reply(time.Now(), func() { client.closeFor(claim) })
+	claim.reply(func() { client.closeFor(claim) })
 	if size <= freeBytes {
 		return nil
 	}
 	timeout := time.NewTimer(replyTimeout)
 	defer timeout.Stop()
 	for {
-		freed := client.listener.Memory.Freed()
-		claim.Progress(time.Now()) // The time of waiting is not the client's.
-		granted, wait := claim.TryGrow(int64(size-freeBytes), time.Now())
+		claim.progress() // The time of waiting is not the client's.
+		granted, freed, wait := claim.grow(int64(size - freeBytes))
 		if granted {
 			return nil
 		}
@@ -237,14 +238,14 @@
 			return err
 		}
 		if claim != nil && len(body) > freeBytes {
-			claim.Progress(time.Now())
+			claim.progress()
 		}
 	}
 	return nil
 }
 
 // claimOf returns the claim of a request, or nil if the memory is not limited.
-func claimOf(ctx context.Context) *evictor.Claim {
+func claimOf(ctx context.Context) *claim {
 	if client := clientOf(ctx); client != nil {
 		return client.claim
 	}
@@ -255,7 +256,7 @@
 // does.
 type claimedReader struct {
 	reader io.Reader
-	claim  *evictor.Claim
+	claim  *claim
 	copies int64 // copies is the number of copies that are made of the bytes.
 	read   int64
 }
@@ -267,8 +268,10 @@
 	c.read += int64(n)
 	interrupted := err != nil && !errors.Is(err, io.EOF)
 	if grown := max(c.read*c.copies-freeBytes, 0) - claimed; grown > 0 || interrupted {
-		if c.claim != nil && !c.claim.Grow(grown, time.Now()) {
-			return n, wigeonspindle.ErrMemory
+		if c.claim != nil {
+			if granted, _, _ := c.claim.grow(grown); !granted {
+				return n, wigeonspindle.ErrMemory
+			}
 		}
 	}
 	return n, err
--- a/internal/transport/server/listener.go
+++ b/internal/transport/server/listener.go
@@ -38,7 +38,7 @@
 	// idleTimeout.
 	Limits func() wigeonspindle.CallLimits
 	// Memory bounds what requests and answers hold; nil means no limit. Listeners may share it.
-	Memory *evictor.Memory
+	Memory *Memory
 	// OnDisplaced is called, if set, for each connection that is closed for a new one. It must not block.
 	OnDisplaced func()
 
--- a/internal/transport/server/places_test.go
+++ b/internal/transport/server/places_test.go
@@ -16,13 +16,12 @@
 	"github.com/charmbracelet/log"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/transport/server"
 	"wigeonspindle.example/wigeonspindle/internal/transport/simulator"
 )
 
 // listen starts a listener with two places and returns its address.
-func listen(t *testing.T, memory *evictor.Memory, handler http.HandlerFunc) string {
+func listen(t *testing.T, memory *server.Memory, handler http.HandlerFunc) string {
 	t.Helper()
 	listener := &server.Listener{
 		Name: "test", Address: simulator.ReservedAddress(), Connections: 2, ReadTimeout: time.Minute, WriteTimeout: time.Minute, Logger: log.New(io.Discard),
@@ -125,7 +124,7 @@
 // TestReadBody guards against bodies that are changed by the way they are read, and against ones over the limit.
 func TestReadBody(t *testing.T) {
 	const limit = 40000
-	address := listen(t, &evictor.Memory{Limit: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+	address := listen(t, &server.Memory{Limit: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
 		body, err := server.ReadBody(w, r, limit)
 		var tooLarge *http.MaxBytesError
 		switch {
@@ -171,7 +170,7 @@
 // TestRequestMemory guards against a request that gives way without an answer that says that it has not run, and against
 // memory that is not given back.
 func TestRequestMemory(t *testing.T) {
-	memory := &evictor.Memory{Limit: 100000}
+	memory := &server.Memory{Limit: 100000}
 	address := listen(t, memory, func(w http.ResponseWriter, r *http.Request) {
 		_, err := server.ReadBody(w, r, 1<<20)
 		if err == nil {
@@ -208,7 +207,7 @@
 // unread answer that looks complete.
 func TestUnreadAnswer(t *testing.T) {
 	const size = 16 << 20 // The buffers of a connection hold less.
-	memory := &evictor.Memory{Limit: size * 5 / 4}
+	memory := &server.Memory{Limit: size * 5 / 4}
 	body := make([]byte, size)
 	address := listen(t, memory, func(w http.ResponseWriter, r *http.Request) {
 		if err := server.StartReply(r.Context(), size); err != nil {
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -11,7 +11,6 @@
 	"github.com/labstack/echo/v4"
 
 	"wigeonspindle.example/wigeonspindle"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/protocol/encoder"
 )
 
@@ -50,7 +49,7 @@
 	s.listener = Listener{
 		Name: "callers", Address: s.Address, Handler: router, Connections: s.Connections,
 		ReadTimeout: s.ReadTimeout, WriteTimeout: writeTimeout, Logger: s.Logger,
-		Memory: &evictor.Memory{Limit: s.Memory},
+		Memory: &Memory{Limit: s.Memory},
 	}
 	if s.Memory == 0 {
 		s.listener.Memory.Limit = defaultMemory
--- a/internal/transport/supervisor/supervisor.go
+++ b/internal/transport/supervisor/supervisor.go
@@ -16,7 +16,6 @@
 	"wigeonspindle.example/wigeonspindle"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/balancer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/budgeter"
-	"wigeonspindle.example/wigeonspindle/internal/coordination/evictor"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/follower"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/gatherer"
 	"wigeonspindle.example/wigeonspindle/internal/coordination/hedger"
@@ -165,7 +164,7 @@
 		{Name: "metrics", Address: s.Settings.MetricsAddress, Handler: meter.Handler(), Connections: internalConnections},
 	}
 	s.listeners[0].Limits = s.Limits
-	memory := &evictor.Memory{Limit: int64(requestMemoryShare * float64(s.Settings.MemoryLimitMB<<20))}
+	memory := &server.Memory{Limit: int64(requestMemoryShare * float64(s.Settings.MemoryLimitMB<<20))}
 	s.listeners[0].Memory = memory
 	meter.MeasureRequestMemory(memory.Used)
 	for i, listener := range s.listeners {
