--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -15,6 +15,8 @@
 type deployment struct {
 	store    *store
 	replicas []*replica
+	services []any
+	shards   []string
 	hosts    []*host
 	clients  []*client
 }
@@ -31,6 +33,25 @@
 	}
 }
 
+// configure writes a version of the configuration. Searches go to all shards but the last one, in versions after 3 to all
+// but the first one.
+func (d *deployment) configure(version int) time.Time {
+	shards := d.shards[:len(d.shards)-1]
+	if version > 3 {
+		shards = d.shards[1:]
+	}
+	route := func(name string, timeout, aim, priority, top int, coverage float64) map[string]any {
+		return map[string]any{
+			"name": name, "host": authority, "path_prefix": "/" + name + "/", "route_type": "idempotent", "timeout_ms": timeout,
+			"target_latency_ms": aim, "priority": priority, "fanout": shards, "max_attempts": 2, "top_k": top, "min_coverage": coverage,
+		}
+	}
+	return d.store.put("op/config", map[string]any{
+		"version": version, "services": d.services, "limits": configLimits(),
+		"routes": []any{route("sweep", 1200, 80, 1, 20, 0.89), route("dyelot", 600, 40, 2, 5, 0.75)},
+	})
+}
+
 // startDeployment starts the deployment and waits until all hosts serve.
 func startDeployment(s *scene, warmupPerSecond float64) (*deployment, error) {
 	d := &deployment{}
@@ -45,16 +66,8 @@
 		shards = append(shards, fmt.Sprintf("shard-%02d", i))
 		services = append(services, serviceEntry(shards[i], 50, warmupPerSecond))
 	}
-	route := func(name string, timeout, aim, priority, top int, coverage float64) map[string]any {
-		return map[string]any{
-			"name": name, "host": authority, "path_prefix": "/" + name + "/", "route_type": "idempotent", "timeout_ms": timeout,
-			"target_latency_ms": aim, "priority": priority, "fanout": shards, "max_attempts": 2, "top_k": top, "min_coverage": coverage,
-		}
-	}
-	d.store.put("op/config", map[string]any{
-		"version": 3, "services": services, "limits": configLimits(),
-		"routes": []any{route("sweep", 1200, 80, 1, 20, 0.89), route("dyelot", 600, 40, 2, 5, 0.75)},
-	})
+	d.services, d.shards = services, shards
+	d.configure(3)
 	for i := range 2 * shardCount {
 		r := &replica{
 			id: fmt.Sprintf("i-%08x", 0x7f3a0+i), service: shards[i/2], zone: zones[(i/2+i%2)%len(zones)], store: d.store, slots: 2,
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -25,7 +25,8 @@
 type host struct {
 	hostSpec
 	caller, directory string
-	settings          string
+	settings          string         // settings is the path of the settings file.
+	fields            map[string]any // fields is its content.
 	command           *exec.Cmd
 	exited            chan struct{}
 }
@@ -68,16 +69,31 @@
 		settings[name] = addresses[i]
 	}
 	h.caller, h.directory = addresses[0], addresses[1]
-	data, err := json.Marshal(settings)
-	if err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(h.settings, data, 0o600); err != nil {
+	h.fields = settings
+	if err := h.writeSettings(); err != nil {
 		return nil, err
 	}
 	return h, h.run(folder)
 }
 
+// writeSettings writes the settings file.
+func (h *host) writeSettings() error {
+	data, err := json.Marshal(h.fields)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(h.settings, data, 0o600)
+}
+
+// moveStore changes the address of the store in the settings file and sends SIGHUP.
+func (h *host) moveStore(address string) error {
+	h.fields["store"] = address
+	if err := h.writeSettings(); err != nil {
+		return err
+	}
+	return h.command.Process.Signal(syscall.SIGHUP)
+}
+
 func (h *host) run(folder string) error {
 	log, err := os.OpenFile(filepath.Join(folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -32,8 +32,9 @@
 
 // store is a stand-in for the platform's store: linearizable, with leases, and it keeps its whole history.
 type store struct {
-	server *http.Server
-	addr   string
+	server  *http.Server
+	addr    string
+	handler http.Handler
 
 	mutex     sync.Mutex
 	revision  uint64
@@ -63,11 +64,12 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.grantLease)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.renewLease)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.endLease)
-	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeDelay)
 		w.Header().Set("Store-Era", "1")
 		mux.ServeHTTP(w, r)
-	})}
+	})
+	s.server = &http.Server{Handler: s.handler}
 	go func() { _ = s.server.Serve(listener) }()
 	go s.expire()
 	return s, nil
@@ -78,6 +80,18 @@
 	_ = s.server.Close()
 }
 
+// move makes the store serve at another address too, and returns a function that ends the service at the earlier one.
+func (s *store) move() (leave func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	earlier := s.server
+	s.addr, s.server = listener.Addr().String(), &http.Server{Handler: s.handler}
+	go func(server *http.Server) { _ = server.Serve(listener) }(s.server)
+	return func() { _ = earlier.Close() }, nil
+}
+
 // expire ends the leases whose time is over.
 func (s *store) expire() {
 	for {
