--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// zones are those of the hosts and replicas.
+var zones = []string{"bc-coast-a", "bc-coast-b", "bc-coast-c", "bc-coast-d"}
+
 // shardCount is the number of shards of a search, each with two replicas.
 const shardCount = 20
 
@@ -15,8 +18,6 @@
 type deployment struct {
 	store    *store
 	replicas []*replica
-	services []any
-	shards   []string
 	hosts    []*host
 	clients  []*client
 }
@@ -33,44 +34,33 @@
 	}
 }
 
-// configure writes a version of the configuration. Searches go to all shards but the last one, in versions after 3 to all
-// but the first one.
-func (d *deployment) configure(version int) time.Time {
-	shards := d.shards[:len(d.shards)-1]
-	if version > 3 {
-		shards = d.shards[1:]
-	}
+// configure writes a version of the configuration that names a set of shards, and returns when the store has taken it.
+func (d *deployment) configure(version int, shards []string) time.Time {
 	route := func(name string, timeout, aim, priority, top int, coverage float64) map[string]any {
 		return map[string]any{
 			"name": name, "host": authority, "path_prefix": "/" + name + "/", "route_type": "idempotent", "timeout_ms": timeout,
 			"target_latency_ms": aim, "priority": priority, "fanout": shards, "max_attempts": 2, "top_k": top, "min_coverage": coverage,
 		}
 	}
+	var services []any
+	for _, shard := range shards {
+		services = append(services, serviceEntry(shard, 50, 0))
+	}
 	return d.store.put("op/config", map[string]any{
-		"version": version, "services": d.services, "limits": configLimits(),
+		"version": version, "services": services, "limits": configLimits(),
 		"routes": []any{route("sweep", 1200, 80, 1, 20, 0.89), route("dyelot", 600, 40, 2, 5, 0.75)},
 	})
 }
 
-// startDeployment starts the deployment and waits until all hosts serve.
-func startDeployment(s *scene, warmupPerSecond float64) (*deployment, error) {
-	d := &deployment{}
-	var err error
-	if d.store, err = newStore(); err != nil {
-		return d, err
-	}
-	zones := []string{"bc-coast-a", "bc-coast-b", "bc-coast-c", "bc-coast-d"}
+// startShards starts two replicas of each shard of a set, and returns the names of the shards.
+func (d *deployment) startShards(set string) ([]string, error) {
 	var shards []string
-	var services []any
-	for i := range shardCount {
-		shards = append(shards, fmt.Sprintf("shard-%02d", i))
-		services = append(services, serviceEntry(shards[i], 50, warmupPerSecond))
-	}
-	d.services, d.shards = services, shards
-	d.configure(3)
 	for i := range 2 * shardCount {
+		if i%2 == 0 {
+			shards = append(shards, fmt.Sprintf("%s-%02d", set, i/2))
+		}
 		r := &replica{
-			id: fmt.Sprintf("i-%08x", 0x7f3a0+i), service: shards[i/2], zone: zones[(i/2+i%2)%len(zones)], store: d.store, slots: 2,
+			id: fmt.Sprintf("i-%08x", 0x7f3a0+len(d.replicas)), service: shards[i/2], zone: zones[(i/2+i%2)%len(zones)], store: d.store, slots: 2,
 			work: func(path string) time.Duration {
 				if strings.HasPrefix(path, "/dyelot/") {
 					return 2500 * time.Microsecond
@@ -80,10 +70,25 @@
 			body: func(string) []byte { return make([]byte, 400) },
 		}
 		if err := r.start(); err != nil {
-			return d, err
+			return nil, err
 		}
 		d.replicas = append(d.replicas, r)
 	}
+	return shards, nil
+}
+
+// startDeployment starts the deployment and waits until all hosts serve.
+func startDeployment(s *scene) (*deployment, error) {
+	d := &deployment{}
+	var err error
+	if d.store, err = newStore(); err != nil {
+		return d, err
+	}
+	shards, err := d.startShards("shard")
+	if err != nil {
+		return d, err
+	}
+	d.configure(3, shards)
 	for i := range 12 {
 		zone := zones[i%len(zones)]
 		h, err := startHost(hostSpec{name: fmt.Sprintf("frontend-%s-%d", zone, i/len(zones)+1), zone: zone, memory: machineMB, files: machineFiles}, d.store.addr, s.folder)
--- a/review/standin3/limit.go
+++ b/review/standin3/limit.go
@@ -22,7 +22,7 @@
 
 // playLimit shows whether a limit that a replica names is kept after its entry was away.
 func playLimit(s *scene) int {
-	d, err := startDeployment(s, 0)
+	d, err := startDeployment(s)
 	defer d.close()
 	if err != nil {
 		return s.failed(err)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -50,7 +50,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	cases := map[string]func(*scene) int{"headers": playHeaders, "limit": playLimit, "cold": playCold, "moved": playMoved}
+	cases := map[string]func(*scene) int{"headers": playHeaders, "limit": playLimit, "moved": playMoved}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER")
 		return failed
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -38,15 +38,16 @@
 	work              func(path string) time.Duration
 	body              func(path string) []byte
 
-	addr      string
-	server    *http.Server
-	stop      chan struct{}
-	slot      chan struct{}
-	running   atomic.Int64
-	waiting   atomic.Int64
-	limit     atomic.Pointer[string] // limit is the Server-Limit that the replica names; nil is none.
-	muted     atomic.Bool            // muted reports that the reports of the replica don't reach the store.
-	coldUntil atomic.Int64           // coldUntil is a Unix time in nanoseconds.
+	addr    string
+	server  *http.Server
+	stop    chan struct{}
+	ending  sync.Once
+	slot    chan struct{}
+	running atomic.Int64
+	waiting atomic.Int64
+	limit   atomic.Pointer[string] // limit is the Server-Limit that the replica names; nil is none.
+	leaving atomic.Bool            // leaving reports that the replica stops soon.
+	muted   atomic.Bool            // muted reports that the reports of the replica don't reach the store.
 
 	mutex    sync.Mutex
 	arrivals []arrival
@@ -72,7 +73,7 @@
 
 // close ends the replica without a report.
 func (r *replica) close() {
-	close(r.stop)
+	r.ending.Do(func() { close(r.stop) })
 	_ = r.server.Close()
 }
 
@@ -104,22 +105,25 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sequence++
+	state := "ready"
+	if r.leaving.Load() {
+		state = "draining"
+	}
 	r.beatAt = r.store.put("servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "capacity": r.slots, "state": "ready",
-		"warmup_left_ms": r.coldFor().Milliseconds(), "sequence": r.sequence, "born": r.born,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "capacity": r.slots, "state": state,
+		"warmup_left_ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	return r.beatAt
 }
 
-// coldFor returns how long the replica stays cold.
-func (r *replica) coldFor() time.Duration {
-	return max(time.Until(time.Unix(0, r.coldUntil.Load())), 0)
-}
-
-// turnCold makes the replica cold for a time and reports it to the store at once.
-func (r *replica) turnCold(period time.Duration) time.Time {
-	r.coldUntil.Store(time.Now().Add(period).UnixNano())
-	return r.beat()
+// leave reports that the replica is draining, and ends it without a further report after a time.
+func (r *replica) leave(after time.Duration) {
+	r.leaving.Store(true)
+	r.beat()
+	time.AfterFunc(after, func() {
+		r.close()
+		r.store.remove("servers/" + r.id)
+	})
 }
 
 // taken returns the arrivals so far.
@@ -145,12 +149,14 @@
 	header.Set("Keep-Alive", "timeout=10")
 	header.Set("X-Instance-Id", r.id)
 	if request.URL.Path == "/health" {
-		header.Set("X-Warmup-Ms", strconv.FormatInt(r.coldFor().Milliseconds(), 10))
 		return
 	}
 	id := request.Header.Get("X-Request-Id")
 	header.Set("X-Request-Id", id)
 	header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", r.running.Load(), r.waiting.Load(), r.slots))
+	if r.leaving.Load() {
+		header.Set("Server-Leaving", "1")
+	}
 	if limit := r.limit.Load(); limit != nil {
 		header.Set("Server-Limit", *limit)
 	}
