--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of review/11 and later start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/ ./review/standin3
+go build -o target/ ./review/platform/standin3
